--- /dev/null
+++ b/control/control.go
@@ -0,0 +1,682 @@
+// Package control decides where each job of functions that are loaded on demand goes. The mechanism is
+// Fifer's, as docs/design.md tells it.
+//
+// The router calls Start once and from then on tells what it hears: Listed, Probed, Loaded, Left. It asks
+// three things: Place, where to send this job (or not yet, or never); After, what to do after this
+// outcome; Wait, how long to wait until the next upkeep, and what falls due now. In each turn it asks Place
+// for all jobs in hand, lowest Rank first. The values that go to and fro are in types.go, state in state.go.
+package control
+
+import (
+	"cmp"
+	"fmt"
+	"math"
+	"slices"
+)
+
+// Start gives a router that knows only what it is told.
+func Start(now Micros, seed uint64, told Deployment) *Router {
+	return &Router{told: told, chance: pcg(seed), started: now, functions: map[FunctionID]*function{},
+		execs: make([]samples, len(told.Workloads)), tenants: make([]samples, len(told.Allowances))}
+}
+
+// Listed takes in the list of servers. A later start than the one known means an empty, cold server.
+func (r *Router) Listed(now Micros, kind ListKind, list []Listing) {
+	if kind == ListFailed {
+		r.watching = false
+		return
+	}
+	for _, s := range r.servers {
+		s.listed = s.listed && kind == ListChanges
+	}
+	for _, l := range list {
+		i, known := r.find(l.Server)
+		if !known {
+			r.servers = slices.Insert(r.servers, i, &server{heard: now})
+		}
+		s := r.servers[i]
+		if known && l.Born > s.Born {
+			r.forget(s, l.Born)
+		}
+		s.Listing, s.listed = l, true
+	}
+	for _, s := range r.servers {
+		if !s.listed {
+			s.State = Gone
+		}
+	}
+}
+
+func (r *Router) find(id ServerID) (int, bool) {
+	return slices.BinarySearchFunc(r.servers, id, func(s *server, id ServerID) int { return cmp.Compare(s.Server, id) })
+}
+
+// forget drops the beliefs about a server's copies that are older than its start: a restart holds nothing.
+func (r *Router) forget(s *server, born Micros) {
+	for _, f := range r.order {
+		if in := f.at(s, false); in != nil && max(in.used, in.since) < born {
+			in.copies, in.loading = 0, 0
+		}
+	}
+}
+
+func (r *Router) function(j *Job) *function {
+	f := r.functions[j.Function]
+	if f == nil {
+		f = &function{id: j.Function, askedAt: -1}
+		r.functions[j.Function] = f
+		r.order = append(r.order, f)
+	}
+	f.lanes, f.last = max(1, j.Lanes), j
+	return f
+}
+
+func (f *function) at(s *server, add bool) *instance {
+	i, ok := slices.BinarySearchFunc(f.instances, s.Server,
+		func(in *instance, id ServerID) int { return cmp.Compare(in.server.Server, id) })
+	if !ok {
+		if !add {
+			return nil
+		}
+		f.instances = slices.Insert(f.instances, i, &instance{server: s})
+	}
+	return f.instances[i]
+}
+
+// exec is the function's execution time: the hint, else a mean of its last warm answers that leaves out
+// the far tail, so that a few heavy jobs don't distort B; with too few, its workload's.
+func (r *Router) exec(f *function, j *Job) Micros {
+	if j.Work > 0 {
+		return j.Work
+	}
+	const enough = 3 // a mean of fewer is mostly the luck of one job
+	for _, s := range []*samples{&f.execs, &r.execs[j.Workload]} {
+		if s.n >= enough {
+			return max(1, trimmed(s.since(0)))
+		}
+	}
+	return r.told.Workloads[j.Workload].StartTarget / 4 // before any answer: a guess that leaves B at 3
+}
+
+func trimmed(sorted []Micros) Micros {
+	far := 4 * quantile(sorted, 0.5) // an exponential's tail beyond 4 medians is 1 in 16
+	n, _ := slices.BinarySearch(sorted, far+1)
+	return mean(sorted[:n])
+}
+
+// loadTime is how long a load takes: the hint, else the mean of recent loads, with none the start target.
+func (r *Router) loadTime(j *Job) Micros {
+	if j != nil && j.LoadTime > 0 {
+		return j.LoadTime
+	}
+	if r.loads.n > 0 {
+		return mean(r.loads.since(0))
+	}
+	return r.told.Workloads[0].StartTarget
+}
+
+func (r *Router) target(j *Job, exec Micros) Micros {
+	w := r.told.Workloads[j.Workload]
+	return w.StartTarget + Micros(w.Stretch*float64(exec))
+}
+
+// perLane is B, the slots of a lane: slack over execution time, at least 1.
+func (r *Router) perLane(f *function, j *Job) float64 {
+	exec := r.exec(f, j)
+	return max(1, float64(r.target(j, exec)-exec)/float64(exec))
+}
+
+// warm tells whether the copies are believed loaded: the belief fades after the told least keep-alive.
+func (r *Router) warm(now Micros, in *instance) bool {
+	return in.copies > 0 && (in.out > 0 || now < in.used+r.told.KeepAlive)
+}
+
+// loads tells whether copies are believed under way. Guards against a load that nobody ever reports: after
+// four times the usual it is taken as lost.
+func (r *Router) underWay(now Micros, in *instance) bool {
+	return in.loading > 0 && now < in.since+4*r.loadTime(nil)
+}
+
+// slots is what an instance offers this router.
+func (r *Router) slots(now Micros, in *instance, f *function, perLane float64) int {
+	if r.warm(now, in) {
+		return max(1, int(perLane*float64(f.lanes*in.copies)/float64(r.told.Routers)))
+	}
+	if r.underWay(now, in) {
+		return f.lanes * in.loading
+	}
+	return 0
+}
+
+// Rank orders the jobs in hand: least slack first.
+func (r *Router) Rank(_ Micros, j *Job) Micros {
+	exec := r.exec(r.function(j), j)
+	return j.Arrived + r.target(j, exec) - exec
+}
+
+// Place answers where to send a job, or not yet, or never.
+func (r *Router) Place(now Micros, j *Job) Placement {
+	f := r.function(j)
+	if !j.taken {
+		j.taken = true
+		f.arrivals.add(now, 1)
+		r.taken = append(r.taken, now)
+	}
+	p := r.place(now, f, j)
+	if hold := p.Verb == Hold; hold != j.held {
+		if hold {
+			if f.held++; f.held == 1 {
+				f.heldFrom = now
+			}
+			j.heldSince = now
+		} else {
+			f.held--
+			j.heldFor += now - j.heldSince
+		}
+		j.held = hold
+	}
+	return p
+}
+
+func (r *Router) place(now Micros, f *function, j *Job) Placement {
+	if slices.ContainsFunc(j.Executions, func(e Execution) bool { return !e.Done }) {
+		return Placement{Verb: Nothing}
+	}
+	exec := r.exec(f, j)
+	late := now+exec > j.Arrived+r.target(j, exec)
+	// No use is left in a job that can't end within its client's patience, nor in a late one while others
+	// of its function wait that can still be in time.
+	if now+exec/2+2*r.told.Tick >= j.Patience || len(j.Executions) >= r.told.MaxExecutions || !r.mayRepeat(now, j) ||
+		late && f.held > f.lanes {
+		return r.final(j, exec)
+	}
+	if in := r.fullest(now, f, j); in != nil {
+		return r.send(now, f, j, in)
+	}
+	p := Placement{Verb: Hold, Rank: r.Rank(now, j), Again: min(now+checkEvery, j.Patience-exec/2-2*r.told.Tick)}
+	if f.due > 0 {
+		if s := r.loadTarget(now, f, j); s != nil {
+			f.due--
+			return r.load(now, f, j, s)
+		}
+	}
+	for _, in := range f.instances {
+		if r.warm(now, in) || r.underWay(now, in) {
+			return p
+		}
+	}
+	if p.Orders = r.ask(now, f); f.asks > 0 && now < f.askedAt+askWait {
+		p.Again = min(p.Again, f.askedAt+askWait)
+		return p
+	}
+	if s := r.loadTarget(now, f, j); s != nil {
+		return r.load(now, f, j, s)
+	}
+	return p
+}
+
+// final ends a job: pushed back where that promise holds, else killed.
+func (r *Router) final(j *Job, exec Micros) Placement {
+	w := r.told.Workloads[j.Workload]
+	for _, e := range j.Executions {
+		if e.MayRun && (w.Effect == RunOnce || w.Effect == Fingerprinted && w.Scope != WholeFleet) {
+			return Placement{Verb: Kill}
+		}
+	}
+	return Placement{Verb: PushBack, StayAway: min(r.told.MaxStayAway, 2*exec)}
+}
+
+// mayRepeat keeps the second rule: an execution that may have run allows another only where repeats do no
+// harm, and for a fingerprinted job while its group still remembers it, less a margin for the way there.
+func (r *Router) mayRepeat(now Micros, j *Job) bool {
+	w := r.told.Workloads[j.Workload]
+	const travel = 50_000 // far longer than any hop between router and server
+	for _, e := range j.Executions {
+		if e.MayRun && (w.Effect == RunOnce || w.Effect == Fingerprinted && now+travel >= e.Sent+w.Window) {
+			return false
+		}
+	}
+	return true
+}
+
+// inGroup tells whether a server drops repeats of all executions that may have run.
+func (r *Router) inGroup(s *server, j *Job) bool {
+	w := r.told.Workloads[j.Workload]
+	for _, e := range j.Executions {
+		if e.MayRun && w.Effect == Fingerprinted &&
+			(w.Scope == OneZone && e.Zone != s.Zone || w.Scope == OneCell && e.Cell != s.Cell) {
+			return false
+		}
+	}
+	return true
+}
+
+// usable tells whether a job may go to a server at all.
+func (r *Router) usable(now Micros, s *server, j *Job) bool {
+	if s.State != Ready || now < s.avoidUntil || s.suspect && now < s.trialAt || !r.inGroup(s, j) {
+		return false
+	}
+	return r.coldRoom(now, s)
+}
+
+// coldRoom keeps the fourth rule: within any window of the rule's length we send a cold server at most our
+// fraction of what it may get, measured by what warm servers answer to us, which is our share of it already.
+func (r *Router) coldRoom(now Micros, s *server) bool {
+	age := now - s.Born
+	if s.Born == 0 || age >= r.told.Cold {
+		return true
+	}
+	s.sent = after(s.sent, now-r.told.Fall)
+	capacity := r.told.ColdFrom + (1-r.told.ColdFrom)*float64(max(0, age))/float64(r.told.Cold)
+	const margin = 0.5 // jobs vary: the heaviest half of a window may hold twice the mean
+	jobs := margin * r.told.FallMultiple * capacity * r.warmRate(now) * float64(r.told.Fall) / 1e6
+	return float64(len(s.sent)) < max(1, jobs)
+}
+
+const rateOver = 2_000_000 // long enough for some tens of answers of a server at work
+
+// warmRate is the median of the warm servers' answers to us a second.
+func (r *Router) warmRate(now Micros) float64 {
+	var counts []Micros
+	for _, s := range r.servers {
+		if s.State == Ready && !s.suspect && (s.Born == 0 || now-s.Born >= r.told.Cold) {
+			s.done = after(s.done, now-rateOver)
+			counts = append(counts, Micros(len(s.done)))
+		}
+	}
+	slices.Sort(counts)
+	return float64(quantile(counts, 0.5)) * 1e6 / rateOver
+}
+
+// fullest picks the instance for a job: among those with fewer of our executions out than lanes the
+// fullest, else the one with the fewest free slots, else one that loads; ties by own zone, then by chance.
+func (r *Router) fullest(now Micros, f *function, j *Job) *instance {
+	perLane := r.perLane(f, j)
+	var best *instance
+	var bestKey, ties int
+	for _, in := range f.instances {
+		free := r.slots(now, in, f, perLane) - in.out
+		if free <= 0 || !r.usable(now, in.server, j) {
+			continue
+		}
+		key := in.out * 2
+		if warm := r.warm(now, in); warm && in.out < f.lanes*in.copies {
+			key += 1 << 30
+		} else if warm {
+			key = 1<<28 - free*2
+		}
+		if in.server.Zone == r.told.Zone {
+			key++
+		}
+		if best == nil || key > bestKey {
+			best, bestKey, ties = in, key, 1
+		} else if key == bestKey {
+			if ties++; r.chance.below(ties) == 0 {
+				best = in
+			}
+		}
+	}
+	return best
+}
+
+func (r *Router) send(now Micros, f *function, j *Job, in *instance) Placement {
+	s := in.server
+	warm := r.warm(now, in)
+	j.Executions = append(j.Executions, Execution{Server: s.Server, Zone: s.Zone, Cell: s.Cell, Sent: now,
+		MayRun: true, warm: warm})
+	s.flights = append(s.flights, flight{j, ExecutionID(len(j.Executions) - 1), now, warm})
+	s.sent = append(after(s.sent, now-r.told.Fall), now)
+	if s.suspect {
+		s.trialAt = now + trialEvery<<min(s.setbacks, 3)
+	}
+	in.out++
+	return Placement{Verb: Send, Server: s.Server, Allow: j.Patience - now}
+}
+
+const askWait = 30_000 // a question is answered within a few hops and beside the queue; a sick server's never
+
+// ask finds out where copies stand that others loaded or that we knew before a restart. A router that has
+// just started asks everywhere, later the servers where a function is likely to be.
+func (r *Router) ask(now Micros, f *function) []Order {
+	if !r.told.Orders || f.askedAt >= 0 && now < f.askedAt+r.told.KeepAlive {
+		return nil
+	}
+	likely := r.preferred(now, f)
+	if now > r.started+r.told.KeepAlive {
+		likely = likely[:min(3, len(likely))] // where routers meet, see preferred
+	}
+	f.askedAt, f.asks = now, len(likely)
+	var orders []Order
+	for _, s := range likely {
+		orders = append(orders, Order{s.Server, f.id, 0})
+	}
+	return orders
+}
+
+// preferred orders the servers that may take a load for a function by a rendezvous hash weighted with their
+// headroom, so that routers that share nothing meet on the same copies and crowded servers still get few.
+func (r *Router) preferred(now Micros, f *function) []*server {
+	type choice struct {
+		s   *server
+		key float64
+	}
+	var cs []choice
+	for _, s := range r.servers {
+		if s.State != Ready || now < s.avoidUntil || s.suspect {
+			continue
+		}
+		weight := max(0.05, 1-s.report.Util) * max(0.1, s.Power)
+		if age := now - s.Born; s.Born > 0 && age < r.told.Cold {
+			weight *= r.told.ColdFrom
+		}
+		u := (float64(mix(uint64(f.id), uint64(s.Server))>>11) + 1) / (1 << 53)
+		cs = append(cs, choice{s, -math.Log(u) / weight})
+	}
+	slices.SortStableFunc(cs, func(a, b choice) int { return cmp.Compare(a.key, b.key) })
+	ss := make([]*server, len(cs))
+	for i, c := range cs {
+		ss[i] = c.s
+	}
+	return ss
+}
+
+// loadTarget picks the server for one more copy: the most preferred without one, else with the fewest.
+func (r *Router) loadTarget(now Micros, f *function, j *Job) *server {
+	var best *server
+	fewest := math.MaxInt
+	for _, s := range r.preferred(now, f) {
+		if now < s.loadsAfter || j != nil && !r.usable(now, s, j) {
+			continue
+		}
+		copies := 0
+		if in := f.at(s, false); in != nil {
+			copies = in.copies + in.loading
+		}
+		if copies < fewest {
+			best, fewest = s, copies
+		}
+	}
+	return best
+}
+
+// load starts a load for a job and sends the job behind it; where no order may be given the job itself
+// starts the load.
+func (r *Router) load(now Micros, f *function, j *Job, s *server) Placement {
+	order, ok := r.orderLoad(now, f, s)
+	if !ok && !r.told.LoadsOnMiss {
+		return Placement{Verb: Hold, Rank: r.Rank(now, j), Again: now + checkEvery}
+	}
+	in := f.at(s, true)
+	if !ok {
+		in.loading, in.since = in.loading+1, now
+	}
+	if !r.told.LoadsOnMiss { // a job that overtakes its order would only miss
+		return Placement{Verb: Hold, Rank: r.Rank(now, j), Again: now + askWait, Orders: []Order{order}}
+	}
+	p := r.send(now, f, j, in)
+	if ok {
+		p.Orders = []Order{order}
+	}
+	return p
+}
+
+// orderLoad makes an order for one copy more than stand or load there, within the ration of the fifth rule.
+func (r *Router) orderLoad(now Micros, f *function, s *server) (Order, bool) {
+	if !r.told.Orders || !r.ration(now) {
+		return Order{}, false
+	}
+	in := f.at(s, true)
+	if !r.warm(now, in) {
+		in.copies = 0
+	}
+	if !r.underWay(now, in) {
+		in.loading = 0
+	}
+	in.loading, in.since = in.loading+1, now
+	return Order{s.Server, f.id, min(16, in.copies+in.loading)}, true
+}
+
+func (r *Router) ration(now Micros) bool {
+	if r.told.LoadWindow > 0 {
+		r.orders, r.taken = after(r.orders, now-r.told.LoadWindow), after(r.taken, now-r.told.LoadWindow+r.told.Tick)
+		if float64(len(r.orders)+1) > r.told.LoadFree+r.told.LoadShare*float64(len(r.taken)) {
+			return false
+		}
+		r.orders = append(r.orders, now)
+	}
+	return true
+}
+
+// After takes in how an execution ended and answers what to do with its job.
+func (r *Router) After(now Micros, j *Job, o Outcome) Placement {
+	e := &j.Executions[o.Execution]
+	i, known := r.find(o.Server)
+	if e.Done || !known {
+		return Placement{Verb: Nothing}
+	}
+	f, s := r.function(j), r.servers[i]
+	in := f.at(s, true)
+	e.Done = true
+	e.MayRun = o.Result != Full && o.Result != NoConnection && o.Result != NeverSent && o.Result != Missing
+	in.out = max(0, in.out-1)
+	s.flights = slices.DeleteFunc(s.flights, func(fl flight) bool { return fl.job == j && fl.no == o.Execution })
+	r.learn(now, s, f, in, j, e, o)
+	if o.JobOver {
+		r.Left(now, j)
+		return Placement{Verb: Nothing}
+	}
+	return r.Place(now, j)
+}
+
+func (r *Router) learn(now Micros, s *server, f *function, in *instance, j *Job, e *Execution, o Outcome) {
+	if o.Report != nil {
+		s.report, s.reported = *o.Report, now
+	}
+	switch o.Result {
+	case Finished, Errored, Full, Missing:
+		r.hear(now, s)
+	case Reset, NoConnection:
+		r.sicken(now, s, "connections fail")
+		if o.Result == Reset {
+			r.forget(s, now) // what drops connections has most likely died, and holds nothing when it is back
+		}
+	}
+	switch {
+	case o.Found == LoadFailed || o.Result == Missing:
+		in.copies, in.loading = 0, 0
+	case o.Result == Full:
+		s.avoidUntil = now + fullPause
+	case o.Result == Finished:
+		s.done = append(after(s.done, now-rateOver), now)
+		in.used = now
+		exec := r.exec(f, j)
+		if o.Found == FoundWarm || o.Found == Untold && e.warm {
+			f.execs.add(now, o.Took)
+			r.execs[j.Workload].add(now, o.Took)
+			r.latencies.add(now, o.Took)
+			f.delays.add(now, j.heldFor+max(0, o.Took-exec))
+		} else if o.Found != JoinedLoad {
+			r.loads.add(now, max(1, o.Took-exec))
+		}
+		if in.copies == 0 {
+			in.copies, in.loading = 1, max(0, in.loading-1)
+		}
+	}
+}
+
+const fullPause = 50_000 // about the time in which a busy server ends a job
+
+// Left takes in that a job is over: what is still out for it is called off.
+func (r *Router) Left(now Micros, j *Job) {
+	if j.held {
+		j.held = false
+		r.function(j).held--
+	}
+	j.over = true
+	for i, e := range j.Executions {
+		if !e.Done {
+			r.recall(j, ExecutionID(i))
+		}
+	}
+}
+
+func (r *Router) recall(j *Job, no ExecutionID) {
+	if e := &j.Executions[no]; r.told.Cancels && !e.recall {
+		e.recall = true
+		r.recalls = append(r.recalls, Recall{j.ID, no})
+	}
+}
+
+// Loaded takes in the answer to an order or a question.
+func (r *Router) Loaded(now Micros, id ServerID, fn FunctionID, result Result, took Micros, copies int) {
+	f := r.functions[fn]
+	i, known := r.find(id)
+	if f == nil || !known {
+		return
+	}
+	s := r.servers[i]
+	in := f.at(s, true)
+	if now < f.askedAt+askWait {
+		f.asks = max(0, f.asks-1)
+	}
+	switch result {
+	case Finished:
+		if in.loading > 0 && copies > in.copies {
+			r.loads.add(now, now-in.since)
+			in.loading = max(0, in.loading-(copies-in.copies))
+		}
+		if copies > 0 {
+			in.used = now
+		}
+		in.copies = copies
+	case Full, Errored:
+		in.loading = 0
+		s.loadsAfter = now + loadPause
+	case Reset, NoConnection:
+		r.sicken(now, s, "orders fail")
+		in.copies, in.loading = 0, 0
+	}
+}
+
+const loadPause = 1_000_000 // about as long as a load takes: then there may be room again
+
+// Probed takes in what a probe found. An answer proves little beyond its load report.
+func (r *Router) Probed(now Micros, id ServerID, result Result, _ Micros, report *Report) {
+	i, known := r.find(id)
+	if !known {
+		return
+	}
+	if result == Finished && report != nil {
+		r.servers[i].report, r.servers[i].reported = *report, now
+	}
+}
+
+const trialEvery = 500_000 // a suspect gets one job so often, more rarely each time that it fails
+
+func (r *Router) hear(now Micros, s *server) {
+	s.heard = now
+	if s.suspect {
+		s.suspect, s.setbacks = false, 0
+		r.note("server %x answers again", s.Server)
+	}
+}
+
+func (r *Router) sicken(now Micros, s *server, why string) {
+	if !s.suspect {
+		r.note("server %x is suspect: %s", s.Server, why)
+	}
+	s.suspect = true
+	s.setbacks++
+	s.trialAt = now + trialEvery<<min(s.setbacks, 3)
+}
+
+func (r *Router) note(format string, args ...any) {
+	r.notes = append(r.notes, fmt.Sprintf(format, args...))
+}
+
+const checkEvery = 200_000 // several checks within a load's time and within a start target
+
+// Wait answers how long to wait until the next upkeep, and what falls due now.
+func (r *Router) Wait(now Micros) Upkeep {
+	up := Upkeep{Next: now + checkEvery}
+	if r.told.ListOnRequest && !r.watching {
+		r.watching, up.Subscribe = true, true
+	}
+	r.examine(now)
+	for _, f := range r.order {
+		r.check(now, f)
+	}
+	if r.told.Probes && len(r.servers) > 0 {
+		for range (len(r.servers) + probeRounds - 1) / probeRounds {
+			r.nextProbe = (r.nextProbe + 1) % len(r.servers)
+			if s := r.servers[r.nextProbe]; s.State == Ready {
+				up.Probes = append(up.Probes, s.Server)
+			}
+		}
+	}
+	up.Recalls, up.Notes, r.recalls, r.notes = r.recalls, r.notes, nil, nil
+	return up
+}
+
+const probeRounds = 5 // checks in which all servers are probed once: about a report's own age
+
+// check is the design's test whether a function needs more copies: recent delay has reached slack, and what
+// is held would wait at least as long as a load takes. Held jobs then carry the loads out, see place.
+func (r *Router) check(now Micros, f *function) {
+	f.due = 0
+	if f.held == 0 {
+		return
+	}
+	exec, perLane := r.exec(f, f.last), r.perLane(f, f.last)
+	target := r.target(f.last, exec)
+	delay := max(now-f.heldFrom, quantile(f.delays.since(now-rateOver), 0.75))
+	slots, loading := 0, 0
+	for _, in := range f.instances {
+		slots += r.slots(now, in, f, perLane)
+		if r.underWay(now, in) {
+			loading += in.loading
+		}
+	}
+	if delay < target-exec || slots == 0 || Micros(f.held)*target/Micros(slots) < r.loadTime(f.last) {
+		return
+	}
+	const few = 3 // a check's loads are under way before the next one counts again
+	f.due = min(few, int(math.Ceil(float64(f.held-slots)/perLane))-loading)
+}
+
+// examine looks for servers that owe answers for longer than recent answers explain. Guards against
+// machines that hang or vanish without a word; where most servers owe alike the cause lies elsewhere, in
+// the store or the network, and none is suspected.
+func (r *Router) examine(now Micros) {
+	limit := 4 * quantile(r.latencies.since(0), 0.9)
+	if limit == 0 {
+		return
+	}
+	var silent []*server
+	busy := 0
+	for _, s := range r.servers {
+		if len(s.flights) == 0 {
+			continue
+		}
+		busy++
+		for _, fl := range s.flights {
+			allowed := limit
+			if !fl.warm {
+				allowed += 3 * r.loadTime(fl.job)
+			}
+			if now-max(fl.sent, s.heard) > allowed {
+				silent = append(silent, s)
+				break
+			}
+		}
+	}
+	if len(silent)*2 > max(2, busy) {
+		return
+	}
+	for _, s := range silent {
+		r.sicken(now, s, "owes answers")
+		for _, fl := range s.flights {
+			r.recall(fl.job, fl.no)
+		}
+	}
+}
--- /dev/null
+++ b/control/state.go
@@ -0,0 +1,152 @@
+package control
+
+import (
+	"math/bits"
+	"slices"
+)
+
+// Router is the state of one router.
+type Router struct {
+	told      Deployment
+	chance    pcg
+	started   Micros
+	servers   []*server // by ascending id
+	functions map[FunctionID]*function
+	order     []*function // as first seen
+	execs     []samples   // by workload
+	tenants   []samples   // arrivals, by tenant
+	latencies samples     // of answers from loaded copies, all servers
+	loads     samples     // how long loads took
+	orders    []Micros    // orders to load within the ration's window
+	taken     []Micros    // jobs taken within it
+	recalls   []Recall
+	notes     []string
+	nextProbe int
+	asked     Micros // when the list was last asked for
+	watching  bool
+}
+
+// server is what a router believes of one server.
+type server struct {
+	Listing
+	listed  bool
+	heard   Micros // last sign that it works
+	flights []flight
+	sent    []Micros // recent sends, while it is cold
+	done    []Micros // recent answers
+	report  Report
+	reported,
+	avoidUntil,
+	loadsAfter Micros
+	suspect  bool
+	trialAt  Micros
+	setbacks int
+}
+
+// flight is one execution that is out.
+type flight struct {
+	job  *Job
+	no   ExecutionID
+	sent Micros
+	warm bool
+}
+
+// function is what a router knows of one function.
+type function struct {
+	id        FunctionID
+	lanes     int
+	last      *Job        // the latest one asked about
+	due       int         // loads that the last check found needed
+	instances []*instance // by ascending server id
+	execs     samples
+	delays    samples // holding here plus queueing there
+	arrivals  samples
+	held      int
+	heldFrom  Micros // since when some job has been held
+	askedAt   Micros
+	asks      int // unanswered questions where copies stand
+}
+
+// instance is a function's copies on one server, as believed.
+type instance struct {
+	server  *server
+	copies  int
+	used    Micros // last evidence that they stand
+	loading int
+	since   Micros // when the load began
+	out     int    // our executions there
+}
+
+// samples keeps the last few measurements and when they were taken.
+type samples struct {
+	v, at [16]Micros
+	n     int
+}
+
+func (s *samples) add(now, v Micros) {
+	i := s.n % len(s.v)
+	s.v[i], s.at[i] = v, now
+	s.n++
+}
+
+// since lists the measurements taken after t, smallest first.
+func (s *samples) since(t Micros) []Micros {
+	var vs []Micros
+	for i := range min(s.n, len(s.v)) {
+		if s.at[i] >= t {
+			vs = append(vs, s.v[i])
+		}
+	}
+	slices.Sort(vs)
+	return vs
+}
+
+func (s *samples) last() Micros {
+	if s.n == 0 {
+		return 0
+	}
+	return s.at[(s.n-1)%len(s.v)]
+}
+
+// quantile gives the measurement below which a share q of the sorted ones lies; 0 of none.
+func quantile(sorted []Micros, q float64) Micros {
+	if len(sorted) == 0 {
+		return 0
+	}
+	return sorted[min(int(q*float64(len(sorted))), len(sorted)-1)]
+}
+
+func mean(vs []Micros) Micros {
+	var sum Micros
+	for _, v := range vs {
+		sum += v
+	}
+	return sum / Micros(max(1, len(vs)))
+}
+
+// after drops the times before t from the front of an ascending list.
+func after(times []Micros, t Micros) []Micros {
+	i := 0
+	for i < len(times) && times[i] < t {
+		i++
+	}
+	return times[i:]
+}
+
+// pcg is a permuted congruential generator (XSH-RR 64/32).
+type pcg uint64
+
+func (p *pcg) below(n int) int {
+	old := uint64(*p)
+	*p = pcg(old*6364136223846793005 + 1442695040888963407)
+	word := bits.RotateLeft32(uint32((old>>18^old)>>27), -int(old>>59))
+	return int(uint64(word) * uint64(n) >> 32)
+}
+
+// mix scrambles two ids into one evenly spread number (the finaliser of SplitMix64).
+func mix(a, b uint64) uint64 {
+	x := a*0x9e3779b97f4a7c15 ^ b
+	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
+	x = (x ^ x>>27) * 0x94d049bb133111eb
+	return x ^ x>>31
+}
--- /dev/null
+++ b/internal/drill/records.go
@@ -0,0 +1,253 @@
+package drill
+
+import (
+	"fmt"
+
+	"hollymast/control"
+	"hollymast/internal/wire"
+)
+
+var results = map[uint16]control.Result{
+	10: control.Finished, 20: control.Errored, 30: control.Full, 40: control.TimedOut, 50: control.NoConnection,
+	60: control.Reset, 70: control.Cancelled, 80: control.NeverSent, 90: control.Missing,
+}
+
+func resultOf(status uint16) (control.Result, error) {
+	if r, ok := results[status]; ok {
+		return r, nil
+	}
+	return 0, fmt.Errorf("unknown status %d", status)
+}
+
+// At sets the router that the next records belong to.
+func (h *host) At(number uint32) error {
+	r := h.routers[number]
+	if r == nil {
+		r = &router{number: number}
+		h.routers[number] = r
+	}
+	if !r.touched {
+		r.touched = true
+		h.touched = append(h.touched, r)
+	}
+	h.current = r
+	return nil
+}
+
+var errNoRouter = fmt.Errorf("record before any at")
+
+// Attach starts a fresh router.
+func (h *host) Attach(seed uint64, info []byte) error {
+	if h.current == nil {
+		return errNoRouter
+	}
+	boot, err := wire.ReadBootInfo(info)
+	if err != nil {
+		return err
+	}
+	told, err := deployment(boot)
+	if err != nil {
+		return err
+	}
+	number, touched, out := h.current.number, h.current.touched, h.current.out
+	*h.current = router{number: number, touched: touched, out: out, fields: boot.Report.Fields,
+		jobs: map[control.JobID]*inHand{}}
+	h.current.control = control.Start(h.now, seed, told)
+	return nil
+}
+
+// Destroy forgets all that the router held.
+func (h *host) Destroy() error {
+	return h.with(func(r *router) error {
+		*r = router{number: r.number, touched: r.touched}
+		return nil
+	})
+}
+
+// with runs f on the current router; a record for one that does not run is passed over.
+func (h *host) with(f func(r *router) error) error {
+	if h.current == nil {
+		return errNoRouter
+	}
+	var err error
+	h.current.guard(func() { err = f(h.current) })
+	return err
+}
+
+// BackendsChanged passes on the list of servers.
+func (h *host) BackendsChanged(mode uint8, _ uint64, entries []wire.Entry) error {
+	kinds := map[uint8]control.ListKind{0: control.ListCached, 1: control.ListWhole, 2: control.ListChanges,
+		3: control.ListFailed}
+	states := map[uint8]control.ServerState{0: control.Draining, 2: control.Ready, 3: control.Gone}
+	kind, ok := kinds[mode]
+	if !ok {
+		return fmt.Errorf("unknown mode %d", mode)
+	}
+	list := make([]control.Listing, len(entries))
+	for i, e := range entries {
+		state, ok := states[e.State]
+		if !ok {
+			return fmt.Errorf("unknown state %d in entry %d", e.State, i)
+		}
+		list[i] = control.Listing{Server: serverID(e.Server), State: state, Zone: control.ZoneID(e.Zone),
+			Cell: control.CellID(e.Cell), Power: float64(e.Power), Born: control.Micros(e.Born)}
+	}
+	return h.with(func(r *router) error { r.control.Listed(h.now, kind, list); return nil })
+}
+
+// Option bits of an inbound request.
+const (
+	costTold = 1
+	repeats  = 2
+)
+
+// Inbound takes a job in hand; it is placed when the batch has been read.
+func (h *host) Inbound(in wire.Inbound) error {
+	return h.with(func(r *router) error {
+		job := &inHand{job: control.Job{ID: control.JobID(in.ID), Workload: control.WorkloadID(in.Type),
+			Tenant: control.TenantID(in.Tenant), Function: control.FunctionID(in.Function),
+			Memory: float64(in.MemoryMB), Lanes: int(in.Width), LoadTime: control.Micros(in.LoadMS * 1000),
+			Arrived: h.now, Patience: h.now + control.Micros(in.Patience), Repeat: in.Options&repeats != 0}}
+		if in.Options&costTold != 0 {
+			job.job.Work = control.Micros(in.Cost)
+		}
+		job.rank = r.control.Rank(h.now, &job.job)
+		r.jobs[job.job.ID] = job
+		r.hold(job)
+		return nil
+	})
+}
+
+// HeadReceived marks a job whose answer has begun: it needs no further answer of ours.
+func (h *host) HeadReceived(id uint64, _ uint16, _ wire.Server, _ uint32) error {
+	return h.with(func(r *router) error {
+		if job := r.jobs[control.JobID(id)]; job != nil {
+			job.over = true
+		}
+		return nil
+	})
+}
+
+// Verdict passes on the end of an execution and does with its job what the module answers.
+func (h *host) Verdict(v wire.Verdict) error {
+	result, err := resultOf(v.Status)
+	if err != nil {
+		return err
+	}
+	return h.with(func(r *router) error {
+		job := r.jobs[control.JobID(v.ID)]
+		if job == nil || int(v.Trial) >= len(job.job.Executions) {
+			return nil
+		}
+		job.out--
+		o := control.Outcome{Execution: control.ExecutionID(v.Trial), Server: serverID(v.Server), Result: result,
+			Found: control.Found(v.Note & 7), Crowd: int(v.Note >> 3), Took: control.Micros(v.Duration),
+			JobOver: v.Last || job.over, Report: r.report(v.Load)}
+		p := r.control.After(h.now, &job.job, o)
+		if o.JobOver {
+			r.end(job)
+			return nil
+		}
+		r.carry(job, p)
+		return nil
+	})
+}
+
+// ClientLeft ends a job that its client no longer wants.
+func (h *host) ClientLeft(id uint64) error {
+	return h.with(func(r *router) error {
+		if job := r.jobs[control.JobID(id)]; job != nil && !job.over {
+			r.control.Left(h.now, &job.job)
+			r.end(job)
+		}
+		return nil
+	})
+}
+
+// TickDue only wakes the router: whatever is due is asked for when the batch has been read.
+func (h *host) TickDue(uint32) error { return h.with(func(*router) error { return nil }) }
+
+// Probed passes on what a probe found.
+func (h *host) Probed(s wire.Server, status uint16, took uint32, load []float32) error {
+	result, err := resultOf(status)
+	if err != nil {
+		return err
+	}
+	return h.with(func(r *router) error {
+		r.control.Probed(h.now, serverID(s), result, control.Micros(took), r.report(load))
+		return nil
+	})
+}
+
+// Mail is passed over: routers share nothing.
+func (h *host) Mail(uint32, []byte) error { return h.with(func(*router) error { return nil }) }
+
+// LoadResult passes on the answer to an order.
+func (h *host) LoadResult(s wire.Server, function uint64, status uint16, took uint32, held uint8) error {
+	result, err := resultOf(status)
+	if err != nil {
+		return err
+	}
+	return h.with(func(r *router) error {
+		r.control.Loaded(h.now, serverID(s), control.FunctionID(function), result, control.Micros(took), int(held))
+		return nil
+	})
+}
+
+// report names the values of a load report.
+func (r *router) report(load []float32) *control.Report {
+	if len(load) == 0 {
+		return nil
+	}
+	rep := &control.Report{Util: -1, Loads: -1, Pinned: -1}
+	for i, v := range load[:min(len(load), len(r.fields))] {
+		switch r.fields[i] {
+		case "cpu_share":
+			rep.Util = float64(v)
+		case "x1":
+			rep.Loads = float64(v)
+		case "x0":
+			rep.Pinned = float64(v)
+		}
+	}
+	return rep
+}
+
+// deployment puts the start settings into the module's words.
+func deployment(b *wire.BootInfo) (control.Deployment, error) {
+	d := control.Deployment{
+		Routers: b.Balancers, Zone: control.ZoneID(b.Zone), Tick: control.Micros(b.Tick),
+		MaxExecutions: b.Ceilings.TryLimit, Cancels: b.Ceilings.Cancel, Probes: b.Ceilings.Probes,
+		SecondCopies: b.Ceilings.ParallelTries, ListOnRequest: b.Discovery == "on_request",
+		AskEvery: control.Micros(b.Contract.AskEvery), ColdFrom: b.Contract.ColdFrom,
+		Cold: control.Micros(b.Contract.Cold), Fall: control.Micros(b.Contract.Fall),
+		FallMultiple: b.Contract.FallMultiple, KeepAlive: control.Micros(b.Specifics.LingerIdle),
+		Orders: b.Specifics.LoadControl, LoadWindow: control.Micros(b.Specifics.LoadWindow),
+		LoadFree: b.Specifics.LoadsAnyway, LoadShare: b.Specifics.LoadPart,
+		LoadsOnMiss: b.Specifics.WhenAbsent != "miss", TellsWarm: b.Specifics.MarksCold,
+		TellsCrowd: b.Specifics.CountsAlike,
+	}
+	if b.Ceilings.RetryAfter {
+		d.MaxStayAway = control.Micros(b.Ceilings.MaxRetryAfter)
+	}
+	for _, c := range b.Customers {
+		d.Allowances = append(d.Allowances, c.Allowance)
+	}
+	effects := map[string]control.Effect{"pure": control.Restartable, "token": control.Fingerprinted,
+		"side_effect": control.RunOnce}
+	scopes := map[string]control.Scope{"all": control.WholeFleet, "zone": control.OneZone, "cell": control.OneCell}
+	for i, c := range b.Classes {
+		effect, ok := effects[c.Semantics]
+		if !ok {
+			return d, fmt.Errorf("start settings: class %d: unknown semantics %q", i, c.Semantics)
+		}
+		scope, ok := scopes[c.KeyScope]
+		if !ok && effect == control.Fingerprinted {
+			return d, fmt.Errorf("start settings: class %d: unknown key_scope %q", i, c.KeyScope)
+		}
+		d.Workloads = append(d.Workloads, control.Workload{StartTarget: control.Micros(c.Aim), Stretch: c.Stretch,
+			Importance: c.Importance, LateShare: c.LateValue, Effect: effect, Scope: scope,
+			Window: control.Micros(c.Window)})
+	}
+	return d, nil
+}
--- /dev/null
+++ b/internal/wire/bootinfo.go
@@ -0,0 +1,68 @@
+package wire
+
+import (
+	"encoding/json"
+	"fmt"
+)
+
+// BootInfo is the start settings' JSON, as far as any caller reads it. Unknown keys are passed over.
+type BootInfo struct {
+	Balancers int `json:"balancers"`
+	Ceilings  struct {
+		Cancel        bool  `json:"cancel"`
+		MaxRetryAfter int64 `json:"max_retry_after"`
+		ParallelTries bool  `json:"parallel_tries"`
+		Probes        bool  `json:"probes"`
+		RetryAfter    bool  `json:"retry_after"`
+		TryLimit      int   `json:"try_limit"`
+	} `json:"ceilings"`
+	Classes []struct {
+		Aim        int64   `json:"aim"`
+		Stretch    float64 `json:"aim_stretch"`
+		Importance float64 `json:"importance"`
+		KeyScope   string  `json:"key_scope"`
+		LateValue  float64 `json:"late_value"`
+		Semantics  string  `json:"semantics"`
+		Window     int64   `json:"window"`
+	} `json:"classes"`
+	Contract struct {
+		AskEvery     int64   `json:"ask_every"`
+		Cold         int64   `json:"cold"`
+		ColdFrom     float64 `json:"cold_from"`
+		Fall         int64   `json:"fall"`
+		FallMultiple float64 `json:"fall_multiple"`
+	} `json:"contract"`
+	Customers []struct {
+		Allowance float64 `json:"allowance_per_s"`
+	} `json:"customers"`
+	Discovery string `json:"discovery"`
+	Report    struct {
+		Fields []string `json:"fields"`
+		How    string   `json:"how"`
+	} `json:"report"`
+	SelfIndex int `json:"self_index"`
+	Specifics struct {
+		CountsAlike bool    `json:"counts_alike"`
+		LingerIdle  int64   `json:"linger_idle"`
+		LoadControl bool    `json:"load_control"`
+		LoadPart    float64 `json:"load_part"`
+		LoadWindow  int64   `json:"load_window"`
+		LoadsAnyway float64 `json:"loads_anyway"`
+		MarksCold   bool    `json:"marks_cold"`
+		WhenAbsent  string  `json:"when_absent"`
+	} `json:"specifics"`
+	Tick int64  `json:"tick"`
+	Zone uint16 `json:"zone"`
+}
+
+// ReadBootInfo reads the start settings.
+func ReadBootInfo(text []byte) (*BootInfo, error) {
+	var b BootInfo
+	if err := json.Unmarshal(text, &b); err != nil {
+		return nil, fmt.Errorf("start settings: %w", err)
+	}
+	if len(b.Classes) == 0 || b.Balancers < 1 {
+		return nil, fmt.Errorf("start settings: no classes, or no count of balancers")
+	}
+	return &b, nil
+}
