--- a/control/control.go
+++ b/control/control.go
@@ -139,13 +139,33 @@
 
 // slots is what an instance offers this router.
 func (r *Router) slots(now Micros, in *instance, f *function, perLane float64) int {
+	offered := 0
 	if r.warm(now, in) {
-		return max(1, int(perLane*float64(f.lanes*in.copies)/float64(r.told.Routers)))
+		offered = max(1, int(perLane*float64(f.lanes*in.copies)/float64(r.told.Routers)))
+	} else if r.underWay(now, in) {
+		offered = f.lanes * in.loading
 	}
-	if r.underWay(now, in) {
-		return f.lanes * in.loading
+	s := in.server
+	if s.window == 0 {
+		s.window = max(1, perLane*float64(f.lanes)/float64(r.told.Routers)) // at first, as one instance offers
+	}
+	return min(offered, in.out+int(s.window)-len(s.flights))
+}
+
+// fit narrows or widens how much of ours a server bears at once, by the part of their slack that its last
+// jobs spent queueing there. The design counts slots for each function alone; the copies of many functions
+// share a server's cores. Guards against crowding from any cause: many functions on one server, other
+// routers, a slow or cold machine, stalls. It harms where one heavy job after another looks like a queue.
+func (r *Router) fit(now Micros, s *server, strain Micros) {
+	const most = 400      // thousandths: leaves the rest of the slack for holding here and for chance
+	const narrower = 0.75 // sheds a queue within a few answers' time
+	s.strain.add(now, strain)
+	if now >= s.narrowed && mean(s.strain.since(s.narrowed)) > most {
+		s.window = max(1, min(s.window, float64(len(s.flights)+1))*narrower)
+		s.narrowed = now + quantile(r.latencies.since(0), 0.5) // the effect shows in answers to later sends
+	} else if float64(len(s.flights)+2) >= s.window && now >= s.narrowed {
+		s.window += 1 / s.window
 	}
-	return 0
 }
 
 // Rank orders the jobs in hand: least slack first.
@@ -223,7 +243,7 @@
 			return Placement{Verb: Kill}
 		}
 	}
-	return Placement{Verb: PushBack, StayAway: min(r.told.MaxStayAway, 2*exec)}
+	return Placement{Verb: PushBack, StayAway: r.told.MaxStayAway}
 }
 
 // mayRepeat keeps the second rule: an execution that may have run allows another only where repeats do no
@@ -324,7 +344,8 @@
 	warm := r.warm(now, in)
 	j.Executions = append(j.Executions, Execution{Server: s.Server, Zone: s.Zone, Cell: s.Cell, Sent: now,
 		MayRun: true, warm: warm})
-	s.flights = append(s.flights, flight{j, ExecutionID(len(j.Executions) - 1), now, warm})
+	lone := 3*len(s.flights) <= int(s.window)
+	s.flights = append(s.flights, flight{j, ExecutionID(len(j.Executions) - 1), now, warm, lone})
 	s.sent = append(after(s.sent, now-r.told.Fall), now)
 	if s.suspect {
 		s.trialAt = now + trialEvery<<min(s.setbacks, 3)
@@ -459,8 +480,13 @@
 	e.Done = true
 	e.MayRun = o.Result != Full && o.Result != NoConnection && o.Result != NeverSent && o.Result != Missing
 	in.out = max(0, in.out-1)
-	s.flights = slices.DeleteFunc(s.flights, func(fl flight) bool { return fl.job == j && fl.no == o.Execution })
-	r.learn(now, s, f, in, j, e, o)
+	lone := false
+	s.flights = slices.DeleteFunc(s.flights, func(fl flight) bool {
+		found := fl.job == j && fl.no == o.Execution
+		lone = lone || found && fl.lone
+		return found
+	})
+	r.learn(now, s, f, in, j, e, o, lone)
 	if o.JobOver {
 		r.Left(now, j)
 		return Placement{Verb: Nothing}
@@ -468,7 +494,7 @@
 	return r.Place(now, j)
 }
 
-func (r *Router) learn(now Micros, s *server, f *function, in *instance, j *Job, e *Execution, o Outcome) {
+func (r *Router) learn(now Micros, s *server, f *function, in *instance, j *Job, e *Execution, o Outcome, lone bool) {
 	if o.Report != nil {
 		s.report, s.reported = *o.Report, now
 	}
@@ -486,13 +512,17 @@
 		in.copies, in.loading = 0, 0
 	case o.Result == Full:
 		s.avoidUntil = now + fullPause
+		r.fit(now, s, 1000)
 	case o.Result == Finished:
 		s.done = append(after(s.done, now-rateOver), now)
 		in.used = now
 		exec := r.exec(f, j)
 		if o.Found == FoundWarm || o.Found == Untold && e.warm {
-			f.execs.add(now, o.Took)
-			r.execs[j.Workload].add(now, o.Took)
+			if lone || f.execs.n == 0 { // under a crowd the time is not the job's own
+				f.execs.add(now, o.Took)
+				r.execs[j.Workload].add(now, o.Took)
+			}
+			r.fit(now, s, max(0, o.Took-exec)*1000/max(1, r.target(j, exec)-exec))
 			r.latencies.add(now, o.Took)
 			f.delays.add(now, j.heldFor+max(0, o.Took-exec))
 		} else if o.Found != JoinedLoad {
--- a/control/state.go
+++ b/control/state.go
@@ -38,6 +38,9 @@
 	reported,
 	avoidUntil,
 	loadsAfter Micros
+	window   float64 // how many executions of ours it bears at once, see fit
+	narrowed Micros
+	strain   samples // queueing there, in thousandths of the job's slack
 	suspect  bool
 	trialAt  Micros
 	setbacks int
@@ -49,6 +52,7 @@
 	no   ExecutionID
 	sent Micros
 	warm bool
+	lone bool // sent when few others of ours were there
 }
 
 // function is what a router knows of one function.
