--- a/control/control.go
+++ b/control/control.go
@@ -126,9 +126,11 @@
 	return max(1, float64(r.target(j, exec)-exec)/float64(exec))
 }
 
-// warm tells whether the copies are believed loaded: the belief fades after the told least keep-alive.
+// warm tells whether the copies are believed loaded: the belief fades after the told least keep-alive, and
+// sooner where a server only said that copies stand, not how long they have been idle.
 func (r *Router) warm(now Micros, in *instance) bool {
-	return in.copies > 0 && (in.out > 0 || now < in.used+r.told.KeepAlive)
+	const hearsay = 1_000_000 // some tenths of copies idle for an unknown time are gone by then
+	return in.copies > 0 && (in.out > 0 || now < in.used+r.told.KeepAlive || now < in.heard+hearsay)
 }
 
 // loads tells whether copies are believed under way. Guards against a load that nobody ever reports: after
@@ -149,7 +151,7 @@
 	if s.window == 0 {
 		s.window = max(1, perLane*float64(f.lanes)/float64(r.told.Routers)) // at first, as one instance offers
 	}
-	return min(offered, in.out+int(s.window)-len(s.flights))
+	return min(offered, in.out+int(s.window)-s.busy)
 }
 
 // fit narrows or widens how much of ours a server bears at once, by the part of their slack that its last
@@ -161,9 +163,9 @@
 	const narrower = 0.75 // sheds a queue within a few answers' time
 	s.strain.add(now, strain)
 	if now >= s.narrowed && mean(s.strain.since(s.narrowed)) > most {
-		s.window = max(1, min(s.window, float64(len(s.flights)+1))*narrower)
+		s.window = max(1, min(s.window, float64(s.busy+1))*narrower)
 		s.narrowed = now + quantile(r.latencies.since(0), 0.5) // the effect shows in answers to later sends
-	} else if float64(len(s.flights)+2) >= s.window && now >= s.narrowed {
+	} else if float64(s.busy+2) >= s.window && now >= s.narrowed {
 		s.window += 1 / s.window
 	}
 }
@@ -207,11 +209,16 @@
 	// No use is left in a job that can't end within its client's patience, nor in a late one while others
 	// of its function wait that can still be in time.
 	if now+exec/2+2*r.told.Tick >= j.Patience || len(j.Executions) >= r.told.MaxExecutions || !r.mayRepeat(now, j) ||
-		late && f.held > f.lanes {
+		late && f.held > f.lanes && !f.loading {
 		return r.final(j, exec)
 	}
 	if in := r.fullest(now, f, j); in != nil {
-		return r.send(now, f, j, in)
+		p := r.send(now, f, j, in)
+		if r.told.Orders && in.used+r.told.KeepAlive <= now && in.copies > 0 && r.ration(now) {
+			p.Orders = []Order{{in.server.Server, f.id, 1}} // known by hearsay only: start its idle time anew
+		}
+		in.used = max(in.used, now)
+		return p
 	}
 	p := Placement{Verb: Hold, Rank: r.Rank(now, j), Again: min(now+checkEvery, j.Patience-exec/2-2*r.told.Tick)}
 	if f.due > 0 {
@@ -344,7 +351,10 @@
 	warm := r.warm(now, in)
 	j.Executions = append(j.Executions, Execution{Server: s.Server, Zone: s.Zone, Cell: s.Cell, Sent: now,
 		MayRun: true, warm: warm})
-	lone := 3*len(s.flights) <= int(s.window)
+	lone := 3*s.busy <= int(s.window)
+	if warm {
+		s.busy++
+	}
 	s.flights = append(s.flights, flight{j, ExecutionID(len(j.Executions) - 1), now, warm, lone})
 	s.sent = append(after(s.sent, now-r.told.Fall), now)
 	if s.suspect {
@@ -480,6 +490,9 @@
 	e.Done = true
 	e.MayRun = o.Result != Full && o.Result != NoConnection && o.Result != NeverSent && o.Result != Missing
 	in.out = max(0, in.out-1)
+	if e.warm {
+		s.busy--
+	}
 	lone := false
 	s.flights = slices.DeleteFunc(s.flights, func(fl flight) bool {
 		found := fl.job == j && fl.no == o.Execution
@@ -575,10 +588,7 @@
 			r.loads.add(now, now-in.since)
 			in.loading = max(0, in.loading-(copies-in.copies))
 		}
-		if copies > 0 {
-			in.used = now
-		}
-		in.copies = copies
+		in.copies, in.heard = copies, now
 	case Full, Errored:
 		in.loading = 0
 		s.loadsAfter = now + loadPause
@@ -667,6 +677,7 @@
 			loading += in.loading
 		}
 	}
+	f.loading = loading > 0
 	if delay < target-exec || slots == 0 || Micros(f.held)*target/Micros(slots) < r.loadTime(f.last) {
 		return
 	}
--- a/control/state.go
+++ b/control/state.go
@@ -32,6 +32,7 @@
 	listed  bool
 	heard   Micros // last sign that it works
 	flights []flight
+	busy    int      // flights believed to run, not to wait for a load
 	sent    []Micros // recent sends, while it is cold
 	done    []Micros // recent answers
 	report  Report
@@ -61,6 +62,7 @@
 	lanes     int
 	last      *Job        // the latest one asked about
 	due       int         // loads that the last check found needed
+	loading   bool        // at the last check a load was under way
 	instances []*instance // by ascending server id
 	execs     samples
 	delays    samples // holding here plus queueing there
@@ -75,7 +77,8 @@
 type instance struct {
 	server  *server
 	copies  int
-	used    Micros // last evidence that they stand
+	used    Micros // last evidence that they were used
+	heard   Micros // when the server last said that they stand, whether used or not
 	loading int
 	since   Micros // when the load began
 	out     int    // our executions there
