--- a/control/control.go
+++ b/control/control.go
@@ -9,7 +9,6 @@
 
 import (
 	"cmp"
-	"fmt"
 	"math"
 	"slices"
 )
@@ -47,10 +46,6 @@
 	}
 }
 
-func (r *Router) find(id ServerID) (int, bool) {
-	return slices.BinarySearchFunc(r.servers, id, func(s *server, id ServerID) int { return cmp.Compare(s.Server, id) })
-}
-
 // forget drops the beliefs about a server's copies that are older than its start: a restart holds nothing.
 func (r *Router) forget(s *server, born Micros) {
 	for _, f := range r.order {
@@ -71,18 +66,6 @@
 	return f
 }
 
-func (f *function) at(s *server, add bool) *instance {
-	i, ok := slices.BinarySearchFunc(f.instances, s.Server,
-		func(in *instance, id ServerID) int { return cmp.Compare(in.server.Server, id) })
-	if !ok {
-		if !add {
-			return nil
-		}
-		f.instances = slices.Insert(f.instances, i, &instance{server: s})
-	}
-	return f.instances[i]
-}
-
 // exec is the function's execution time: the hint, else a mean of its last warm answers that leaves out
 // the far tail, so that a few heavy jobs don't distort B; with too few, its workload's.
 func (r *Router) exec(f *function, j *Job) Micros {
@@ -205,14 +188,17 @@
 		return Placement{Verb: Nothing}
 	}
 	exec := r.exec(f, j)
-	late := now+exec > j.Arrived+r.target(j, exec)
-	// No use is left in a job that can't end within its client's patience, nor in a late one while others
-	// of its function wait that can still be in time.
-	if now+exec/2+2*r.told.Tick >= j.Patience || len(j.Executions) >= r.told.MaxExecutions || !r.mayRepeat(now, j) ||
-		late && f.held > f.lanes && !f.loading {
-		return r.final(j, exec)
+	whole := r.target(j, exec) - exec
+	slack := j.Arrived + whole - now
+	if now+exec/2+2*r.told.Tick >= j.Patience || len(j.Executions) >= r.told.MaxExecutions || !r.mayRepeat(now, j) {
+		return r.final(j) // it can't end within its client's patience, or must not be sent again
 	}
 	if in := r.fullest(now, f, j); in != nil {
+		// Guards against an overload in which least slack first serves every job just too late: where a
+		// server is half full, a job that its queue would make late gives way to those that can be in time.
+		if s := in.server; r.warm(now, in) && slack < r.queue(now, s, whole) && 2*s.busy >= int(s.window) {
+			return r.final(j)
+		}
 		p := r.send(now, f, j, in)
 		if r.told.Orders && in.used+r.told.KeepAlive <= now && in.copies > 0 && r.ration(now) {
 			p.Orders = []Order{{in.server.Server, f.id, 1}} // known by hearsay only: start its idle time anew
@@ -227,10 +213,16 @@
 			return r.load(now, f, j, s)
 		}
 	}
+	stands, comes := false, false
 	for _, in := range f.instances {
-		if r.warm(now, in) || r.underWay(now, in) {
-			return p
-		}
+		stands = stands || in.server.sound() && r.warm(now, in)
+		comes = comes || in.server.sound() && r.underWay(now, in)
+	}
+	if stands && slack < 0 && !comes {
+		return r.final(j) // as above: its copies are there and full
+	}
+	if stands || comes {
+		return p
 	}
 	if p.Orders = r.ask(now, f); f.asks > 0 && now < f.askedAt+askWait {
 		p.Again = min(p.Again, f.askedAt+askWait)
@@ -242,8 +234,13 @@
 	return p
 }
 
+// queue is how long a server lately kept a job with that much slack waiting.
+func (r *Router) queue(now Micros, s *server, slack Micros) Micros {
+	return mean(s.strain.since(now-rateOver/2)) * slack / 1000
+}
+
 // final ends a job: pushed back where that promise holds, else killed.
-func (r *Router) final(j *Job, exec Micros) Placement {
+func (r *Router) final(j *Job) Placement {
 	w := r.told.Workloads[j.Workload]
 	for _, e := range j.Executions {
 		if e.MayRun && (w.Effect == RunOnce || w.Effect == Fingerprinted && w.Scope != WholeFleet) {
@@ -306,7 +303,7 @@
 func (r *Router) warmRate(now Micros) float64 {
 	var counts []Micros
 	for _, s := range r.servers {
-		if s.State == Ready && !s.suspect && (s.Born == 0 || now-s.Born >= r.told.Cold) {
+		if s.sound() && (s.Born == 0 || now-s.Born >= r.told.Cold) {
 			s.done = after(s.done, now-rateOver)
 			counts = append(counts, Micros(len(s.done)))
 		}
@@ -393,7 +390,7 @@
 	}
 	var cs []choice
 	for _, s := range r.servers {
-		if s.State != Ready || now < s.avoidUntil || s.suspect {
+		if !s.sound() || now < s.avoidUntil {
 			continue
 		}
 		weight := max(0.05, 1-s.report.Util) * max(0.1, s.Power)
@@ -630,10 +627,6 @@
 	s.trialAt = now + trialEvery<<min(s.setbacks, 3)
 }
 
-func (r *Router) note(format string, args ...any) {
-	r.notes = append(r.notes, fmt.Sprintf(format, args...))
-}
-
 const checkEvery = 200_000 // several checks within a load's time and within a start target
 
 // Wait answers how long to wait until the next upkeep, and what falls due now.
@@ -672,12 +665,14 @@
 	delay := max(now-f.heldFrom, quantile(f.delays.since(now-rateOver), 0.75))
 	slots, loading := 0, 0
 	for _, in := range f.instances {
+		if !in.server.sound() {
+			continue
+		}
 		slots += r.slots(now, in, f, perLane)
 		if r.underWay(now, in) {
 			loading += in.loading
 		}
 	}
-	f.loading = loading > 0
 	if delay < target-exec || slots == 0 || Micros(f.held)*target/Micros(slots) < r.loadTime(f.last) {
 		return
 	}
--- a/control/state.go
+++ b/control/state.go
@@ -1,6 +1,8 @@
 package control
 
 import (
+	"cmp"
+	"fmt"
 	"math/bits"
 	"slices"
 )
@@ -62,7 +64,6 @@
 	lanes     int
 	last      *Job        // the latest one asked about
 	due       int         // loads that the last check found needed
-	loading   bool        // at the last check a load was under way
 	instances []*instance // by ascending server id
 	execs     samples
 	delays    samples // holding here plus queueing there
@@ -84,6 +85,29 @@
 	out     int    // our executions there
 }
 
+func (r *Router) find(id ServerID) (int, bool) {
+	return slices.BinarySearchFunc(r.servers, id, func(s *server, id ServerID) int { return cmp.Compare(s.Server, id) })
+}
+
+func (f *function) at(s *server, add bool) *instance {
+	i, ok := slices.BinarySearchFunc(f.instances, s.Server,
+		func(in *instance, id ServerID) int { return cmp.Compare(in.server.Server, id) })
+	if !ok {
+		if !add {
+			return nil
+		}
+		f.instances = slices.Insert(f.instances, i, &instance{server: s})
+	}
+	return f.instances[i]
+}
+
+// sound tells whether a server is there and not suspect.
+func (s *server) sound() bool { return s.State == Ready && !s.suspect }
+
+func (r *Router) note(format string, args ...any) {
+	r.notes = append(r.notes, fmt.Sprintf(format, args...))
+}
+
 // samples keeps the last few measurements and when they were taken.
 type samples struct {
 	v, at [16]Micros
