--- a/control/control.go
+++ b/control/control.go
@@ -208,7 +208,7 @@
 	}
 	p := Placement{Verb: Hold, Rank: r.Rank(now, j), Again: min(now+checkEvery, j.Patience-exec/2-2*r.told.Tick)}
 	if f.due > 0 {
-		if s := r.loadTarget(now, f, j); s != nil {
+		if s := r.loadTarget(now, f, j, true); s != nil {
 			f.due--
 			return r.load(now, f, j, s)
 		}
@@ -228,7 +228,7 @@
 		p.Again = min(p.Again, f.askedAt+askWait)
 		return p
 	}
-	if s := r.loadTarget(now, f, j); s != nil {
+	if s := r.loadTarget(now, f, j, false); s != nil {
 		return r.load(now, f, j, s)
 	}
 	return p
@@ -363,16 +363,14 @@
 
 const askWait = 30_000 // a question is answered within a few hops and beside the queue; a sick server's never
 
-// ask finds out where copies stand that others loaded or that we knew before a restart. A router that has
-// just started asks everywhere, later the servers where a function is likely to be.
+// ask finds out where copies stand that others loaded or that we knew before a restart.
 func (r *Router) ask(now Micros, f *function) []Order {
 	if !r.told.Orders || f.askedAt >= 0 && now < f.askedAt+r.told.KeepAlive {
 		return nil
 	}
+	const meeting = 4 // where routers meet and what they loaded stands, see preferred
 	likely := r.preferred(now, f)
-	if now > r.started+r.told.KeepAlive {
-		likely = likely[:min(3, len(likely))] // where routers meet, see preferred
-	}
+	likely = likely[:min(meeting, len(likely))]
 	f.askedAt, f.asks = now, len(likely)
 	var orders []Order
 	for _, s := range likely {
@@ -393,7 +391,7 @@
 		if !s.sound() || now < s.avoidUntil {
 			continue
 		}
-		weight := max(0.05, 1-s.report.Util) * max(0.1, s.Power)
+		weight := max(0.05, min(1-s.report.Util, s.room())) * max(0.1, s.Power)
 		if age := now - s.Born; s.Born > 0 && age < r.told.Cold {
 			weight *= r.told.ColdFrom
 		}
@@ -408,12 +406,13 @@
 	return ss
 }
 
-// loadTarget picks the server for one more copy: the most preferred without one, else with the fewest.
-func (r *Router) loadTarget(now Micros, f *function, j *Job) *server {
+// loadTarget picks the server for one more copy: the most preferred without one, else with the fewest. A copy
+// beside others goes only where half a server is free: in a full fleet it would only take more from the rest.
+func (r *Router) loadTarget(now Micros, f *function, j *Job, beside bool) *server {
 	var best *server
 	fewest := math.MaxInt
 	for _, s := range r.preferred(now, f) {
-		if now < s.loadsAfter || j != nil && !r.usable(now, s, j) {
+		if now < s.loadsAfter || !r.usable(now, s, j) || beside && s.room() < 0.5 {
 			continue
 		}
 		copies := 0
@@ -521,10 +520,13 @@
 	case o.Found == LoadFailed || o.Result == Missing:
 		in.copies, in.loading = 0, 0
 	case o.Result == Full:
-		s.avoidUntil = now + fullPause
+		// Guards against a server that turns all away, full or draining before the list says so: each time
+		// without an answer between it is left alone for longer, and soon its copies count for nothing.
+		s.fulls++
+		s.avoidUntil = now + fullPause<<min(s.fulls, 5)
 		r.fit(now, s, 1000)
 	case o.Result == Finished:
-		s.done = append(after(s.done, now-rateOver), now)
+		s.done, s.fulls = append(after(s.done, now-rateOver), now), 0
 		in.used = now
 		exec := r.exec(f, j)
 		if o.Found == FoundWarm || o.Found == Untold && e.warm {
@@ -544,7 +546,7 @@
 	}
 }
 
-const fullPause = 50_000 // about the time in which a busy server ends a job
+const fullPause = 25_000 // doubled, about the time in which a busy server ends a job
 
 // Left takes in that a job is over: what is still out for it is called off.
 func (r *Router) Left(now Micros, j *Job) {
--- a/control/state.go
+++ b/control/state.go
@@ -47,6 +47,7 @@
 	suspect  bool
 	trialAt  Micros
 	setbacks int
+	fulls    int // refusals since its last answer
 }
 
 // flight is one execution that is out.
@@ -102,7 +103,15 @@
 }
 
 // sound tells whether a server is there and not suspect.
-func (s *server) sound() bool { return s.State == Ready && !s.suspect }
+func (s *server) sound() bool { return s.State == Ready && !s.suspect && s.fulls < 3 }
+
+// room is the share of a server's window that is free.
+func (s *server) room() float64 {
+	if s.window == 0 {
+		return 1
+	}
+	return max(0, 1-float64(s.busy)/s.window)
+}
 
 func (r *Router) note(format string, args ...any) {
 	r.notes = append(r.notes, fmt.Sprintf(format, args...))
