--- a/control/control.go
+++ b/control/control.go
@@ -55,17 +55,6 @@
 	}
 }
 
-func (r *Router) function(j *Job) *function {
-	f := r.functions[j.Function]
-	if f == nil {
-		f = &function{id: j.Function, askedAt: -1}
-		r.functions[j.Function] = f
-		r.order = append(r.order, f)
-	}
-	f.lanes, f.last = max(1, j.Lanes), j
-	return f
-}
-
 // exec is the function's execution time: the hint, else a mean of its last warm answers that leaves out
 // the far tail, so that a few heavy jobs don't distort B; with too few, its workload's.
 func (r *Router) exec(f *function, j *Job) Micros {
@@ -234,6 +223,12 @@
 	return p
 }
 
+// sound tells whether a server is there, and neither suspect nor turning all away.
+func (s *server) sound() bool {
+	const deaf = 3 // refusals in a row; a busy server takes some jobs in between
+	return s.State == Ready && !s.suspect && s.fulls < deaf
+}
+
 // queue is how long a server lately kept a job with that much slack waiting.
 func (r *Router) queue(now Micros, s *server, slack Micros) Micros {
 	return mean(s.strain.since(now-rateOver/2)) * slack / 1000
@@ -391,7 +386,7 @@
 		if !s.sound() || now < s.avoidUntil {
 			continue
 		}
-		weight := max(0.05, min(1-s.report.Util, s.room())) * max(0.1, s.Power)
+		weight := max(0.05, min(1-s.report.Util, s.room())) * max(0.1, s.Power) / (1 + max(0, s.report.Loads))
 		if age := now - s.Born; s.Born > 0 && age < r.told.Cold {
 			weight *= r.told.ColdFrom
 		}
@@ -410,9 +405,10 @@
 // beside others goes only where half a server is free: in a full fleet it would only take more from the rest.
 func (r *Router) loadTarget(now Micros, f *function, j *Job, beside bool) *server {
 	var best *server
-	fewest := math.MaxInt
+	const few = 2 // loads of ours under way on a server; with other routers' they fill its places for loads
+	fewest, ours := math.MaxInt, r.loading(now)
 	for _, s := range r.preferred(now, f) {
-		if now < s.loadsAfter || !r.usable(now, s, j) || beside && s.room() < 0.5 {
+		if now < s.loadsAfter || ours[s] >= few || !r.usable(now, s, j) || beside && s.room() < 0.5 {
 			continue
 		}
 		copies := 0
@@ -520,6 +516,10 @@
 	case o.Found == LoadFailed || o.Result == Missing:
 		in.copies, in.loading = 0, 0
 	case o.Result == Full:
+		if !e.warm {
+			in.loading, s.loadsAfter = 0, now+loadPause // its loads queue is full, or there is no memory
+			break
+		}
 		// Guards against a server that turns all away, full or draining before the list says so: each time
 		// without an answer between it is left alone for longer, and soon its copies count for nothing.
 		s.fulls++
--- a/control/state.go
+++ b/control/state.go
@@ -102,9 +102,6 @@
 	return f.instances[i]
 }
 
-// sound tells whether a server is there and not suspect.
-func (s *server) sound() bool { return s.State == Ready && !s.suspect && s.fulls < 3 }
-
 // room is the share of a server's window that is free.
 func (s *server) room() float64 {
 	if s.window == 0 {
@@ -117,6 +114,30 @@
 	r.notes = append(r.notes, fmt.Sprintf(format, args...))
 }
 
+// loading counts our loads under way by server.
+func (r *Router) loading(now Micros) map[*server]int {
+	ours := map[*server]int{}
+	for _, f := range r.order {
+		for _, in := range f.instances {
+			if r.underWay(now, in) {
+				ours[in.server] += in.loading
+			}
+		}
+	}
+	return ours
+}
+
+func (r *Router) function(j *Job) *function {
+	f := r.functions[j.Function]
+	if f == nil {
+		f = &function{id: j.Function, askedAt: -1}
+		r.functions[j.Function] = f
+		r.order = append(r.order, f)
+	}
+	f.lanes, f.last = max(1, j.Lanes), j
+	return f
+}
+
 // samples keeps the last few measurements and when they were taken.
 type samples struct {
 	v, at [16]Micros
