--- a/control/control.go
+++ b/control/control.go
@@ -343,7 +343,7 @@
 	warm := r.warm(now, in)
 	j.Executions = append(j.Executions, Execution{Server: s.Server, Zone: s.Zone, Cell: s.Cell, Sent: now,
 		MayRun: true, warm: warm})
-	lone := 3*s.busy <= int(s.window)
+	lone := 3*s.busy <= int(s.window) && s.report.Util < calm
 	if warm {
 		s.busy++
 	}
@@ -356,6 +356,8 @@
 	return Placement{Verb: Send, Server: s.Server, Allow: j.Patience - now}
 }
 
+const calm = 0.7 // share of busy cores up to which a job hardly waits for one
+
 const askWait = 30_000 // a question is answered within a few hops and beside the queue; a sick server's never
 
 // ask finds out where copies stand that others loaded or that we knew before a restart.
