--- a/control/control.go
+++ b/control/control.go
@@ -186,6 +186,7 @@
 		// Guards against an overload in which least slack first serves every job just too late: where a
 		// server is half full, a job that its queue would make late gives way to those that can be in time.
 		if s := in.server; r.warm(now, in) && slack < r.queue(now, s, whole) && 2*s.busy >= int(s.window) {
+			f.delays.add(now, whole)
 			return r.final(j)
 		}
 		p := r.send(now, f, j, in)
@@ -208,6 +209,7 @@
 		comes = comes || in.server.sound() && r.underWay(now, in)
 	}
 	if stands && slack < 0 && !comes {
+		f.delays.add(now, whole)
 		return r.final(j) // as above: its copies are there and full
 	}
 	if stands || comes {
@@ -388,7 +390,8 @@
 		if !s.sound() || now < s.avoidUntil {
 			continue
 		}
-		weight := max(0.05, min(1-s.report.Util, s.room())) * max(0.1, s.Power) / (1 + max(0, s.report.Loads))
+		free := max(0.05, min(1-s.report.Util, s.room()))
+		weight := free * free * max(0.1, s.Power) / (1 + max(0, s.report.Loads))
 		if age := now - s.Born; s.Born > 0 && age < r.told.Cold {
 			weight *= r.told.ColdFrom
 		}
@@ -666,7 +669,7 @@
 	}
 	exec, perLane := r.exec(f, f.last), r.perLane(f, f.last)
 	target := r.target(f.last, exec)
-	delay := max(now-f.heldFrom, quantile(f.delays.since(now-rateOver), 0.75))
+	delay := max(now-f.heldFrom, quantile(f.delays.since(now-rateOver), 0.9))
 	slots, loading := 0, 0
 	for _, in := range f.instances {
 		if !in.server.sound() {
