--- a/control/state.go
+++ b/control/state.go
@@ -16,7 +16,7 @@
 	functions map[FunctionID]*function
 	order     []*function // as first seen
 	execs     []samples   // by workload
-	tenants   []samples   // arrivals, by tenant
+	tenants   [][]Micros  // recent arrivals, by tenant
 	latencies samples     // of answers from loaded copies, all servers
 	loads     samples     // how long loads took
 	orders    []Micros    // orders to load within the ration's window
@@ -68,7 +68,6 @@
 	instances []*instance // by ascending server id
 	execs     samples
 	delays    samples // holding here plus queueing there
-	arrivals  samples
 	held      int
 	heldFrom  Micros // since when some job has been held
 	askedAt   Micros
--- a/internal/drill/records.go
+++ b/internal/drill/records.go
@@ -217,6 +217,7 @@
 func deployment(b *wire.BootInfo) (control.Deployment, error) {
 	d := control.Deployment{
 		Routers: b.Balancers, Zone: control.ZoneID(b.Zone), Tick: control.Micros(b.Tick),
+		SurplusWorth:  b.OverShareWorth,
 		MaxExecutions: b.Ceilings.TryLimit, Cancels: b.Ceilings.Cancel, Probes: b.Ceilings.Probes,
 		SecondCopies: b.Ceilings.ParallelTries, ListOnRequest: b.Discovery == "on_request",
 		AskEvery: control.Micros(b.Contract.AskEvery), ColdFrom: b.Contract.ColdFrom,
--- a/internal/wire/bootinfo.go
+++ b/internal/wire/bootinfo.go
@@ -35,8 +35,9 @@
 	Customers []struct {
 		Allowance float64 `json:"allowance_per_s"`
 	} `json:"customers"`
-	Discovery string `json:"discovery"`
-	Report    struct {
+	Discovery      string  `json:"discovery"`
+	OverShareWorth float64 `json:"over_share_worth"`
+	Report         struct {
 		Fields []string `json:"fields"`
 		How    string   `json:"how"`
 	} `json:"report"`
