--- a/control/control.go
+++ b/control/control.go
@@ -217,7 +217,7 @@
 	if in := r.fullest(now, f, j); in != nil {
 		// Guards against an overload in which least slack first serves every job just too late: where a
 		// server is half full, a job that its queue would make late gives way to those that can be in time.
-		if s := in.server; r.warm(now, in) && slack < r.queue(now, s, whole) && 2*s.busy >= int(s.window) {
+		if s := in.server; r.warm(now, in) && slack < exec+r.queue(now, s, whole) && 2*s.busy >= int(s.window) {
 			f.delays.add(now, whole)
 			return r.final(j)
 		}
@@ -240,7 +240,7 @@
 		stands = stands || in.server.sound() && r.warm(now, in)
 		comes = comes || in.server.sound() && r.underWay(now, in)
 	}
-	if stands && slack < 0 && !comes {
+	if stands && slack < exec && !comes {
 		if r.part(j) == 1 {
 			f.delays.add(now, whole)
 		}
