--- a/control/control.go
+++ b/control/control.go
@@ -16,7 +16,7 @@
 // Start gives a router that knows only what it is told.
 func Start(now Micros, seed uint64, told Deployment) *Router {
 	return &Router{told: told, chance: pcg(seed), started: now, functions: map[FunctionID]*function{},
-		execs: make([]samples, len(told.Workloads)), tenants: make([][]Micros, len(told.Allowances))}
+		execs: make([]samples, len(told.Workloads))}
 }
 
 // Listed takes in the list of servers. A later start than the one known means an empty, cold server.
@@ -111,8 +111,8 @@
 	return in.loading > 0 && now < in.since+4*r.loadTime(nil)
 }
 
-// slots is what an instance offers this router, where a job may fill that part of its server's window.
-func (r *Router) slots(now Micros, in *instance, f *function, perLane, part float64) int {
+// slots is what an instance offers this router.
+func (r *Router) slots(now Micros, in *instance, f *function, perLane float64) int {
 	offered := 0
 	if r.warm(now, in) {
 		offered = max(1, int(perLane*float64(f.lanes*in.copies)/float64(r.told.Routers)))
@@ -123,39 +123,7 @@
 	if s.window == 0 {
 		s.window = max(1, perLane*float64(f.lanes)/float64(r.told.Routers)) // at first, as one instance offers
 	}
-	return min(offered, in.out+max(1, int(s.window*part))-s.busy)
-}
-
-// part is how much of a server's window a job may fill: all of it where none earns more for its work, down to
-// half. Under overload the jobs worth most for their work come first so, and a tenant's surplus yields.
-func (r *Router) part(j *Job) float64 {
-	worth := func(w int) float64 {
-		s := &r.execs[w]
-		return r.told.Workloads[w].Importance / float64(max(1, trimmed(s.since(0))))
-	}
-	own, best := worth(int(j.Workload)), 0.0
-	for w := range r.told.Workloads {
-		if r.execs[w].n == 0 {
-			return 1
-		}
-		best = max(best, worth(w))
-	}
-	if j.surplus {
-		own *= r.told.SurplusWorth
-	}
-	return 0.8 + 0.2*own/best
-}
-
-// surplus tells by lot whether a job is beyond its tenant's share, as often as the tenant's jobs here are.
-func (r *Router) surplus(now Micros, j *Job) bool {
-	if int(j.Tenant) >= len(r.tenants) {
-		return false
-	}
-	const over = 3_000_000 // shares are told by the second; shorter bursts are not held against a tenant
-	times := append(after(r.tenants[j.Tenant], now-over), now)
-	r.tenants[j.Tenant] = times
-	share := r.told.Allowances[j.Tenant] / float64(r.told.Routers) * over / 1e6
-	return now > r.started+over && float64(r.chance.below(len(times))) >= share
+	return min(offered, in.out+int(s.window)-s.busy)
 }
 
 // fit narrows or widens how much of ours a server bears at once, by the part of their slack that its last
@@ -185,7 +153,6 @@
 	f := r.function(j)
 	if !j.taken {
 		j.taken = true
-		j.surplus = r.surplus(now, j)
 		r.taken = append(r.taken, now)
 	}
 	p := r.place(now, f, j)
@@ -241,9 +208,7 @@
 		comes = comes || in.server.sound() && r.underWay(now, in)
 	}
 	if stands && slack < exec && !comes {
-		if r.part(j) == 1 {
-			f.delays.add(now, whole)
-		}
+		f.delays.add(now, whole)
 		return r.final(j) // as above: its copies are there and full
 	}
 	if stands || comes {
@@ -346,11 +311,11 @@
 // fullest picks the instance for a job: among those with fewer of our executions out than lanes the
 // fullest, else the one with the fewest free slots, else one that loads; ties by own zone, then by chance.
 func (r *Router) fullest(now Micros, f *function, j *Job) *instance {
-	perLane, part := r.perLane(f, j), r.part(j)
+	perLane := r.perLane(f, j)
 	var best *instance
 	var bestKey, ties int
 	for _, in := range f.instances {
-		free := r.slots(now, in, f, perLane, part) - in.out
+		free := r.slots(now, in, f, perLane) - in.out
 		if free <= 0 || !r.usable(now, in.server, j) {
 			continue
 		}
@@ -709,7 +674,7 @@
 		if !in.server.sound() {
 			continue
 		}
-		slots += r.slots(now, in, f, perLane, 1)
+		slots += r.slots(now, in, f, perLane)
 		if r.underWay(now, in) {
 			loading += in.loading
 		}
--- a/control/state.go
+++ b/control/state.go
@@ -16,7 +16,6 @@
 	functions map[FunctionID]*function
 	order     []*function // as first seen
 	execs     []samples   // by workload
-	tenants   [][]Micros  // recent arrivals, by tenant
 	latencies samples     // of answers from loaded copies, all servers
 	loads     samples     // how long loads took
 	orders    []Micros    // orders to load within the ration's window
--- a/control/types.go
+++ b/control/types.go
@@ -52,8 +52,6 @@
 	Zone          ZoneID
 	Tick          Micros
 	Workloads     []Workload
-	Allowances    []float64 // jobs a second within its share, by tenant
-	SurplusWorth  float64   // of a job beyond its tenant's share, to one within
 	MaxExecutions int
 	MaxStayAway   Micros // longest pause a client heeds; 0 where clients take no advice
 	Cancels       bool
@@ -172,7 +170,6 @@
 	heldFor    Micros
 	held       bool
 	taken      bool
-	surplus    bool // beyond its tenant's share
 	over       bool
 }
 
--- a/internal/drill/records.go
+++ b/internal/drill/records.go
@@ -217,7 +217,6 @@
 func deployment(b *wire.BootInfo) (control.Deployment, error) {
 	d := control.Deployment{
 		Routers: b.Balancers, Zone: control.ZoneID(b.Zone), Tick: control.Micros(b.Tick),
-		SurplusWorth:  b.OverShareWorth,
 		MaxExecutions: b.Ceilings.TryLimit, Cancels: b.Ceilings.Cancel, Probes: b.Ceilings.Probes,
 		SecondCopies: b.Ceilings.ParallelTries, ListOnRequest: b.Discovery == "on_request",
 		AskEvery: control.Micros(b.Contract.AskEvery), ColdFrom: b.Contract.ColdFrom,
@@ -231,9 +230,6 @@
 	if b.Ceilings.RetryAfter {
 		d.MaxStayAway = control.Micros(b.Ceilings.MaxRetryAfter)
 	}
-	for _, c := range b.Customers {
-		d.Allowances = append(d.Allowances, c.Allowance)
-	}
 	effects := map[string]control.Effect{"pure": control.Restartable, "token": control.Fingerprinted,
 		"side_effect": control.RunOnce}
 	scopes := map[string]control.Scope{"all": control.WholeFleet, "zone": control.OneZone, "cell": control.OneCell}
--- a/internal/wire/bootinfo.go
+++ b/internal/wire/bootinfo.go
@@ -32,12 +32,8 @@
 		Fall         int64   `json:"fall"`
 		FallMultiple float64 `json:"fall_multiple"`
 	} `json:"contract"`
-	Customers []struct {
-		Allowance float64 `json:"allowance_per_s"`
-	} `json:"customers"`
-	Discovery      string  `json:"discovery"`
-	OverShareWorth float64 `json:"over_share_worth"`
-	Report         struct {
+	Discovery string `json:"discovery"`
+	Report    struct {
 		Fields []string `json:"fields"`
 		How    string   `json:"how"`
 	} `json:"report"`
