--- /dev/null
+++ b/control/control_test.go
@@ -0,0 +1,360 @@
+package control
+
+import "testing"
+
+const second = 1_000_000
+
+// at is the time at which the tests ask: late enough that nothing is cold or new.
+const at = Micros(100 * second)
+
+func deployment() Deployment {
+	return Deployment{Routers: 1, Tick: 4000, MaxExecutions: 3, Cancels: true, ColdFrom: 0.25, Cold: 10 * second,
+		Fall: second, FallMultiple: 4, KeepAlive: 10 * second, Orders: true, LoadsOnMiss: true, TellsWarm: true,
+		Workloads: []Workload{{StartTarget: second, Importance: 1, Window: 5 * second}}}
+}
+
+// fleet gives a router that knows n sound servers, numbered from 1, all started long ago.
+func fleet(told Deployment, n int) *Router {
+	r := Start(0, 1, told)
+	for i := range n {
+		r.servers = append(r.servers, &server{listed: true,
+			Listing: Listing{Server: ServerID(i + 1), State: Ready, Power: 1}})
+	}
+	return r
+}
+
+// newJob gives a job of 100 ms of work for function 7, with 4 s of patience.
+func newJob(id JobID) *Job {
+	return &Job{ID: id, Function: 7, Lanes: 2, Work: 100_000, Arrived: at, Patience: at + 4*second}
+}
+
+// stands makes a copy of function 7 believed loaded on a server, with some of our executions out there.
+func stands(r *Router, server, out int) *instance {
+	in := r.function(newJob(0)).at(r.servers[server-1], true)
+	in.copies, in.used, in.out = 1, at, out
+	return in
+}
+
+// sent gives a job with one execution on server 1 that began some time ago and has ended.
+func sent(ago Micros, mayRun bool) *Job {
+	j := newJob(1)
+	j.Executions = []Execution{{Server: 1, Zone: 1, Cell: 1, Sent: at - ago, Done: true, MayRun: mayRun}}
+	return j
+}
+
+func TestFullestWithFreeLaneFirst(t *testing.T) {
+	r := fleet(deployment(), 3)
+	stands(r, 1, 0)
+	stands(r, 2, 1)
+	stands(r, 3, 2) // both lanes taken: slots only
+	if p := r.Place(at, newJob(1)); p.Verb != Send || p.Server != 2 {
+		t.Errorf("got %+v, want the fullest instance with a free lane, server 2", p)
+	}
+}
+
+func TestFewestFreeSlotsWhenLanesAreTaken(t *testing.T) {
+	r := fleet(deployment(), 2)
+	stands(r, 1, 3)
+	stands(r, 2, 5)
+	if p := r.Place(at, newJob(1)); p.Verb != Send || p.Server != 2 {
+		t.Errorf("got %+v, want the fewest free slots, server 2", p)
+	}
+}
+
+func TestSlots(t *testing.T) {
+	for _, c := range []struct {
+		name            string
+		routers         int
+		copies, loading int
+		used            Micros
+		want            int
+	}{
+		{"B slots a lane: (1 s - 0.1 s) / 0.1 s x 2 lanes", 1, 1, 0, at, 18},
+		{"divided by the routers", 4, 1, 0, at, 4},
+		{"at least one", 40, 1, 0, at, 1},
+		{"one that loads offers its lanes", 1, 0, 1, at, 2},
+		{"a belief fades", 1, 1, 0, at - 11*second, 0},
+	} {
+		told := deployment()
+		told.Routers = c.routers
+		r := fleet(told, 1)
+		in := stands(r, 1, 0)
+		in.copies, in.loading, in.since, in.used = c.copies, c.loading, at, c.used
+		r.servers[0].window = 100
+		if got := r.slots(at, in, r.functions[7], r.perLane(r.functions[7], newJob(1))); got != c.want {
+			t.Errorf("%s: got %d slots, want %d", c.name, got, c.want)
+		}
+	}
+}
+
+func TestHeldWhileItsCopyIsFull(t *testing.T) {
+	r := fleet(deployment(), 2)
+	stands(r, 1, 18)
+	p := r.Place(at, newJob(1))
+	if p.Verb != Hold || len(p.Orders) != 0 || r.functions[7].held != 1 {
+		t.Errorf("got %+v with %d held, want it held without a load", p, r.functions[7].held)
+	}
+}
+
+func TestLeastSlackRanksFirst(t *testing.T) {
+	r := fleet(deployment(), 1)
+	early, late := newJob(1), newJob(2)
+	late.Arrived += 1000
+	if r.Rank(at, early) >= r.Rank(at, late) {
+		t.Error("the job with less slack must rank first")
+	}
+}
+
+func TestLoadsAtOnceWithNothingWarm(t *testing.T) {
+	r := fleet(deployment(), 3)
+	r.function(newJob(1)).askedAt = at - second // the question has been answered: nothing stands
+	p := r.Place(at, newJob(1))
+	if p.Verb != Send || len(p.Orders) != 1 || p.Orders[0] != (Order{p.Server, 7, 1}) {
+		t.Errorf("got %+v, want a load ordered and the job sent behind it", p)
+	}
+}
+
+func TestAsksBeforeTheFirstLoad(t *testing.T) {
+	r := fleet(deployment(), 6)
+	p := r.Place(at, newJob(1))
+	if p.Verb != Hold || len(p.Orders) != 4 || p.Orders[0].Copies != 0 {
+		t.Errorf("got %+v, want four questions", p)
+	}
+	r.Loaded(at+1000, p.Orders[0].Server, 7, Finished, 1000, 1)
+	if got := r.Place(at+4000, newJob(1)); got.Verb != Send || got.Server != p.Orders[0].Server {
+		t.Errorf("got %+v, want the server that has a copy", got)
+	}
+}
+
+func TestHearsayFadesSoonAndIsPinned(t *testing.T) {
+	r := fleet(deployment(), 1)
+	in := stands(r, 1, 0)
+	in.used, in.heard = -second*20, at
+	if p := r.Place(at, newJob(1)); len(p.Orders) != 1 || p.Orders[0].Copies != 1 {
+		t.Errorf("got %+v, want an order that starts the copy's idle time anew", p)
+	}
+	in.used, in.out = -second*20, 0
+	if r.warm(at+2*second, in) {
+		t.Error("a copy only heard of 2 s ago may have gone")
+	}
+}
+
+func TestCheckWantsLoadsOnlyWhenDelayAndQueueSaySo(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		held  int
+		since Micros // of holding
+		want  int
+	}{
+		{"delay under slack", 60, at - 500_000, 0},
+		{"queue shorter than a load", 10, at - 950_000, 0},
+		{"both", 60, at - 950_000, 3},
+	} {
+		r := fleet(deployment(), 2)
+		stands(r, 1, 18)
+		r.servers[0].window = 100
+		r.loads.add(at, 2*second)
+		f := r.functions[7]
+		f.held, f.heldFrom, f.last = c.held, c.since, newJob(1)
+		if r.check(at, f); f.due != c.want {
+			t.Errorf("%s: got %d loads due, want %d", c.name, f.due, c.want)
+		}
+	}
+}
+
+// A crash, a hang or a late list must not keep jobs waiting for copies that are gone.
+func TestCopiesOnUnsoundServersDontHoldJobs(t *testing.T) {
+	for name, harm := range map[string]func(s *server){
+		"gone":      func(s *server) { s.State = Gone },
+		"draining":  func(s *server) { s.State = Draining },
+		"suspect":   func(s *server) { s.suspect, s.trialAt = true, at+second },
+		"deaf":      func(s *server) { s.fulls, s.avoidUntil = 5, at+second },
+		"gone full": func(s *server) { s.State, s.window = Gone, 1 },
+	} {
+		r := fleet(deployment(), 2)
+		stands(r, 1, 0)
+		r.functions[7].askedAt = at - second
+		harm(r.servers[0])
+		if p := r.Place(at, newJob(1)); p.Verb != Send || p.Server != 2 {
+			t.Errorf("%s: got %+v, want a load on server 2", name, p)
+		}
+	}
+}
+
+// Least slack first under overload serves every job just too late unless the late ones give way.
+func TestLateJobGivesWayOnACrowdedServer(t *testing.T) {
+	r := fleet(deployment(), 1)
+	stands(r, 1, 1)
+	r.servers[0].window, r.servers[0].busy = 10, 6
+	j := newJob(1)
+	j.Arrived = at - 850_000
+	if p := r.Place(at, j); p.Verb != PushBack {
+		t.Errorf("crowded: got %+v, want it pushed back", p)
+	}
+	r.servers[0].busy = 1
+	if p := r.Place(at, j); p.Verb != Send {
+		t.Errorf("free: got %+v, want it sent", p)
+	}
+}
+
+// Many functions' copies share a server's cores: queueing there must narrow what it gets.
+func TestWindowNarrowsWithQueueing(t *testing.T) {
+	r := fleet(deployment(), 1)
+	s := r.servers[0]
+	s.window, s.busy = 10, 9
+	r.fit(at, s, 100)
+	if s.window <= 10 {
+		t.Errorf("window %v after an answer in time, want it wider", s.window)
+	}
+	for range 8 {
+		r.fit(at, s, 900)
+	}
+	if s.window > 8 {
+		t.Errorf("window %v after long queueing, want it narrower", s.window)
+	}
+}
+
+// A full queue of loads says nothing of the copies that stand beside it.
+func TestRefusedLoadStopsLoadsOnly(t *testing.T) {
+	r := fleet(deployment(), 1)
+	in := stands(r, 1, 1)
+	in.copies, in.loading = 0, 1
+	j := newJob(1)
+	j.Executions = []Execution{{Server: 1, Sent: at - 1000, MayRun: true}}
+	r.After(at, j, Outcome{Server: 1, Result: Full})
+	if s := r.servers[0]; s.loadsAfter <= at || s.avoidUntil > at || in.loading != 0 {
+		t.Errorf("loads after %d, avoided until %d, %d loading", s.loadsAfter, s.avoidUntil, in.loading)
+	}
+}
+
+func TestServerThatOwesAnswersIsSuspect(t *testing.T) {
+	r := fleet(deployment(), 4)
+	r.latencies.add(at, 100_000)
+	for i, s := range r.servers {
+		j := newJob(JobID(i))
+		j.Executions = []Execution{{Server: s.Server, MayRun: true}}
+		s.flights = []flight{{job: j, sent: at - second, warm: true}}
+		s.heard = at - 10_000
+	}
+	r.servers[2].heard = at - second
+	r.examine(at)
+	if !r.servers[2].suspect || r.servers[1].suspect || len(r.recalls) != 1 {
+		t.Errorf("suspects wrong, or %d recalls, want 1", len(r.recalls))
+	}
+	for _, s := range r.servers {
+		s.suspect, s.heard = false, at-second
+	}
+	if r.examine(at); r.servers[0].suspect {
+		t.Error("where all owe answers none is to blame")
+	}
+}
+
+func TestRestartForgetsCopies(t *testing.T) {
+	r := fleet(deployment(), 1)
+	in := stands(r, 1, 0)
+	r.Listed(at+2, ListChanges, []Listing{{Server: 1, State: Ready, Born: at + 1}})
+	if r.warm(at+2, in) {
+		t.Error("a server that started anew holds nothing")
+	}
+}
+
+// Rule 1: an answer before the client's patience ends.
+func TestEndsBeforePatience(t *testing.T) {
+	r := fleet(deployment(), 1)
+	stands(r, 1, 18)
+	j := newJob(1)
+	p := r.Place(at, j)
+	if p.Verb != Hold || p.Again >= j.Patience {
+		t.Fatalf("got %+v, want it asked about again before %d", p, j.Patience)
+	}
+	if p = r.Place(j.Patience-10_000, j); p.Verb != PushBack {
+		t.Errorf("got %+v, want it pushed back", p)
+	}
+}
+
+// Rule 2: what may run again, where, and how it ends.
+func TestFurtherExecutions(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		effect Effect
+		scope  Scope
+		ago    Micros
+		mayRun bool
+		want   Verb
+		server ServerID
+	}{
+		{"restartable", Restartable, WholeFleet, second, true, Send, 2},
+		{"run-once that may have run", RunOnce, WholeFleet, second, true, Kill, 0},
+		{"run-once that did not run", RunOnce, WholeFleet, second, false, Send, 2},
+		{"fingerprinted within its window", Fingerprinted, WholeFleet, second, true, Send, 2},
+		{"fingerprinted beyond it", Fingerprinted, WholeFleet, 5 * second, true, PushBack, 0},
+		{"fingerprinted beyond it, group of a cell", Fingerprinted, OneCell, 5 * second, true, Kill, 0},
+		{"fingerprinted, copy in another cell", Fingerprinted, OneCell, second, true, Hold, 0},
+		{"fingerprinted, copy in another zone", Fingerprinted, OneZone, second, true, Hold, 0},
+	} {
+		told := deployment()
+		told.Workloads[0].Effect, told.Workloads[0].Scope = c.effect, c.scope
+		r := fleet(told, 2)
+		stands(r, 2, 0)
+		if p := r.Place(at, sent(c.ago, c.mayRun)); p.Verb != c.want || p.Server != c.server {
+			t.Errorf("%s: got %+v, want verb %d, server %d", c.name, p, c.want, c.server)
+		}
+	}
+}
+
+func TestNeverTwoAtOnce(t *testing.T) {
+	r := fleet(deployment(), 1)
+	stands(r, 1, 0)
+	j := sent(second, true)
+	j.Executions[0].Done = false
+	if p := r.Place(at, j); p.Verb != Nothing {
+		t.Errorf("got %+v while an execution is out", p)
+	}
+}
+
+// Rule 3: nothing new to a server that drains or is gone, loads included.
+func TestDrainsAreKept(t *testing.T) {
+	for _, state := range []ServerState{Draining, Gone} {
+		r := fleet(deployment(), 1)
+		stands(r, 1, 0)
+		r.functions[7].askedAt = at - second
+		r.Listed(at, ListChanges, []Listing{{Server: 1, State: state}})
+		if p := r.Place(at, newJob(1)); p.Verb != Hold || len(p.Orders) != 0 {
+			t.Errorf("state %d: got %+v, want nothing sent", state, p)
+		}
+	}
+}
+
+// Rule 4: a cold server gets our fraction of its budget.
+func TestColdBudget(t *testing.T) {
+	r := fleet(deployment(), 2)
+	warm, cold := r.servers[0], r.servers[1]
+	for i := range 40 { // 20 answers a second
+		warm.done = append(warm.done, at-second+Micros(i))
+	}
+	cold.Born = at - second
+	// Half of 4 x (0.25 + 0.75 x 0.1) x 20 jobs in a window of a second: 13.
+	for i := range 13 {
+		if !r.coldRoom(at, cold) {
+			t.Fatalf("refused after %d", i)
+		}
+		cold.sent = append(cold.sent, at)
+	}
+	if r.coldRoom(at, cold) {
+		t.Error("14 sent within one window")
+	}
+	if !r.coldRoom(at+second+1, cold) {
+		t.Error("the window has passed")
+	}
+}
+
+// Rule 5: orders to load are rationed.
+func TestRation(t *testing.T) {
+	told := deployment()
+	told.LoadWindow, told.LoadFree, told.LoadShare = 5*second, 1, 0.5
+	r := fleet(told, 1)
+	r.taken = []Micros{at, at}
+	if got := []bool{r.ration(at), r.ration(at), r.ration(at)}; !got[0] || !got[1] || got[2] {
+		t.Errorf("got %v, want two orders within the ration", got)
+	}
+}
--- a/internal/drill/drill.go
+++ b/internal/drill/drill.go
@@ -70,16 +70,17 @@
 
 // router is one hosted instance: the module, the jobs in hand and the one timer kept for it.
 type router struct {
-	number  uint32
-	control *control.Router
-	fields  []string // of a load report
-	jobs    map[control.JobID]*inHand
-	held    []*inHand
-	next    control.Micros // upkeep falls due
-	alarm   control.Micros // earliest reminder asked for and not yet fired; 0: none
-	out     *wire.Replies
-	touched bool
-	broke   string
+	number    uint32
+	control   *control.Router
+	fields    []string // of a load report
+	workloads int
+	jobs      map[control.JobID]*inHand
+	held      []*inHand
+	next      control.Micros // upkeep falls due
+	alarm     control.Micros // earliest reminder asked for and not yet fired; 0: none
+	out       *wire.Replies
+	touched   bool
+	broke     string
 }
 
 // inHand is a job, or what is left of one with executions still out.
--- a/internal/drill/records.go
+++ b/internal/drill/records.go
@@ -51,7 +51,8 @@
 	}
 	number, touched, out := h.current.number, h.current.touched, h.current.out
 	*h.current = router{number: number, touched: touched, out: out, fields: boot.Report.Fields,
-		jobs: map[control.JobID]*inHand{}}
+		workloads: len(boot.Classes),
+		jobs:      map[control.JobID]*inHand{}}
 	h.current.control = control.Start(h.now, seed, told)
 	return nil
 }
@@ -104,6 +105,9 @@
 // Inbound takes a job in hand; it is placed when the batch has been read.
 func (h *host) Inbound(in wire.Inbound) error {
 	return h.with(func(r *router) error {
+		if int(in.Type) >= r.workloads {
+			return fmt.Errorf("unknown class %d", in.Type)
+		}
 		job := &inHand{job: control.Job{ID: control.JobID(in.ID), Workload: control.WorkloadID(in.Type),
 			Tenant: control.TenantID(in.Tenant), Function: control.FunctionID(in.Function),
 			Memory: float64(in.MemoryMB), Lanes: int(in.Width), LoadTime: control.Micros(in.LoadMS * 1000),
