--- a/control/control.go
+++ b/control/control.go
@@ -178,6 +178,9 @@
 	exec := r.exec(f, j)
 	whole := r.target(j, exec) - exec
 	slack := j.Arrived + whole - now
+	if j.Repeat {
+		slack = 0 // the client's first try has used it up
+	}
 	if now+exec/2+2*r.told.Tick >= j.Patience || len(j.Executions) >= r.told.MaxExecutions || !r.mayRepeat(now, j) {
 		return r.final(j) // it can't end within its client's patience, or must not be sent again
 	}
