A patience shorter than usual shows a later try

Cause: where clients don't mark repeats, later tries took the place of fresh jobs (kent's marked ones showed what that costs). The patience told with each job is the client's usual one, or what earlier tries left of its time limit.

--- a/control/control.go
+++ b/control/control.go
@@ -16,7 +16,7 @@
 // Start gives a router that knows only what it is told.
 func Start(now Micros, seed uint64, told Deployment) *Router {
 	return &Router{told: told, chance: pcg(seed), started: now, functions: map[FunctionID]*function{},
-		execs: make([]samples, len(told.Workloads))}
+		execs: make([]samples, len(told.Workloads)), patience: make([]samples, len(told.Workloads))}
 }
 
 // Listed takes in the list of servers. A later start than the one known means an empty, cold server.
@@ -152,7 +152,7 @@
 func (r *Router) Place(now Micros, j *Job) Placement {
 	f := r.function(j)
 	if !j.taken {
-		j.taken = true
+		j.taken, j.begun = true, r.begun(now, j)
 		r.taken = append(r.taken, now)
 	}
 	p := r.place(now, f, j)
@@ -171,13 +171,25 @@
 	return p
 }
 
+// begun is when the client first asked. Guards against later tries, marked or not, that take the place of jobs
+// that can still be in time: a client whose patience is shorter than usual has spent the rest on earlier tries.
+func (r *Router) begun(now Micros, j *Job) Micros {
+	const noise = 30_000 // the way here takes a few ms, more or less
+	usual, patience := &r.patience[j.Workload], j.Patience-now
+	usual.add(now, patience)
+	if patience < quantile(usual.since(0), 0.8)-noise {
+		return min(j.Arrived, j.Patience-r.told.Workloads[j.Workload].TimeLimit)
+	}
+	return j.Arrived
+}
+
 func (r *Router) place(now Micros, f *function, j *Job) Placement {
 	if slices.ContainsFunc(j.Executions, func(e Execution) bool { return !e.Done }) {
 		return Placement{Verb: Nothing}
 	}
 	exec := r.exec(f, j)
 	whole := r.target(j, exec) - exec
-	slack := j.Arrived + whole - now
+	slack := j.begun + whole - now
 	if j.Repeat {
 		slack = 0 // the client's first try has used it up
 	}
--- a/control/state.go
+++ b/control/state.go
@@ -16,6 +16,7 @@
 	functions map[FunctionID]*function
 	order     []*function // as first seen
 	execs     []samples   // by workload
+	patience  []samples   // by workload
 	latencies samples     // of answers from loaded copies, all servers
 	loads     samples     // how long loads took
 	orders    []Micros    // orders to load within the ration's window
--- a/control/types.go
+++ b/control/types.go
@@ -38,6 +38,7 @@
 // Workload is one row of the table of workloads.
 type Workload struct {
 	StartTarget Micros
+	TimeLimit   Micros  // after which a client gives up, all its tries together
 	Stretch     float64 // the start target grows by this multiple of the job's own work
 	Importance  float64
 	LateShare   float64 // of the importance, for an answer after the start target
@@ -170,6 +171,7 @@
 	heldFor    Micros
 	held       bool
 	taken      bool
+	begun      Micros // when its client first asked
 	over       bool
 }
 
--- a/internal/drill/records.go
+++ b/internal/drill/records.go
@@ -246,7 +246,8 @@
 		if !ok && effect == control.Fingerprinted {
 			return d, fmt.Errorf("start settings: class %d: unknown key_scope %q", i, c.KeyScope)
 		}
-		d.Workloads = append(d.Workloads, control.Workload{StartTarget: control.Micros(c.Aim), Stretch: c.Stretch,
+		d.Workloads = append(d.Workloads, control.Workload{StartTarget: control.Micros(c.Aim),
+			TimeLimit: control.Micros(c.HardLimit), Stretch: c.Stretch,
 			Importance: c.Importance, LateShare: c.LateValue, Effect: effect, Scope: scope,
 			Window: control.Micros(c.Window)})
 	}
--- a/internal/wire/bootinfo.go
+++ b/internal/wire/bootinfo.go
@@ -18,6 +18,7 @@
 	} `json:"ceilings"`
 	Classes []struct {
 		Aim        int64   `json:"aim"`
+		HardLimit  int64   `json:"hard_limit"`
 		Stretch    float64 `json:"aim_stretch"`
 		Importance float64 `json:"importance"`
 		KeyScope   string  `json:"key_scope"`
