--- a/control/control.go
+++ b/control/control.go
@@ -87,11 +87,6 @@
 	return r.told.Workloads[0].StartTarget
 }
 
-func (r *Router) target(j *Job, exec Micros) Micros {
-	w := r.told.Workloads[j.Workload]
-	return w.StartTarget + Micros(w.Stretch*float64(exec))
-}
-
 // perLane is B, the slots of a lane: slack over execution time, at least 1.
 func (r *Router) perLane(f *function, j *Job) float64 {
 	exec := r.exec(f, j)
@@ -105,7 +100,7 @@
 	return in.copies > 0 && (in.out > 0 || now < in.used+r.told.KeepAlive || now < in.heard+hearsay)
 }
 
-// loads tells whether copies are believed under way. Guards against a load that nobody ever reports: after
+// underWay tells whether copies are believed under way. Guards against a load that nobody ever reports: after
 // four times the usual it is taken as lost.
 func (r *Router) underWay(now Micros, in *instance) bool {
 	return in.loading > 0 && now < in.since+4*r.loadTime(nil)
@@ -153,7 +148,9 @@
 	f := r.function(j)
 	if !j.taken {
 		j.taken, j.begun = true, r.begun(now, j)
-		r.taken = append(r.taken, now)
+		if r.told.LoadWindow > 0 {
+			r.taken = append(r.taken, now)
+		}
 	}
 	p := r.place(now, f, j)
 	if hold := p.Verb == Hold; hold != j.held {
@@ -171,8 +168,9 @@
 	return p
 }
 
-// begun is when the client first asked. Guards against later tries, marked or not, that take the place of jobs
-// that can still be in time: a client whose patience is shorter than usual has spent the rest on earlier tries.
+// begun is when the client first asked. Guards against later tries, marked or not, that take the place of
+// jobs that can still be in time: a patience shorter than usual is what earlier tries have left. It harms
+// clients that are hasty by nature.
 func (r *Router) begun(now Micros, j *Job) Micros {
 	const noise = 30_000 // the way here takes a few ms, more or less
 	usual, patience := &r.patience[j.Workload], j.Patience-now
@@ -193,8 +191,9 @@
 	if j.Repeat {
 		slack = 0 // the client's first try has used it up
 	}
-	if now+exec/2+2*r.told.Tick >= j.Patience || len(j.Executions) >= r.told.MaxExecutions || !r.mayRepeat(now, j) {
-		return r.final(j) // it can't end within its client's patience, or must not be sent again
+	last := j.Patience - exec/2 - 2*r.told.Tick // it can't end within its client's patience if sent later
+	if now >= last || len(j.Executions) >= r.told.MaxExecutions || !r.mayRepeat(now, j, nil) {
+		return r.final(j)
 	}
 	if in := r.fullest(now, f, j); in != nil {
 		// Guards against an overload in which least slack first serves every job just too late: where a
@@ -210,7 +209,7 @@
 		in.used = max(in.used, now)
 		return p
 	}
-	p := Placement{Verb: Hold, Rank: r.Rank(now, j), Again: min(now+checkEvery, j.Patience-exec/2-2*r.told.Tick)}
+	p := Placement{Verb: Hold, Rank: r.Rank(now, j), Again: min(now+checkEvery, last)}
 	if f.due > 0 {
 		if s := r.loadTarget(now, f, j, true); s != nil {
 			f.due--
@@ -262,24 +261,15 @@
 }
 
 // mayRepeat keeps the second rule: an execution that may have run allows another only where repeats do no
-// harm, and for a fingerprinted job while its group still remembers it, less a margin for the way there.
-func (r *Router) mayRepeat(now Micros, j *Job) bool {
+// harm; for a fingerprinted job only inside its group (of the server s, where one is meant) and while that
+// still remembers it, less a margin for the way there.
+func (r *Router) mayRepeat(now Micros, j *Job, s *server) bool {
 	w := r.told.Workloads[j.Workload]
 	const travel = 50_000 // far longer than any hop between router and server
 	for _, e := range j.Executions {
-		if e.MayRun && (w.Effect == RunOnce || w.Effect == Fingerprinted && now+travel >= e.Sent+w.Window) {
-			return false
-		}
-	}
-	return true
-}
-
-// inGroup tells whether a server drops repeats of all executions that may have run.
-func (r *Router) inGroup(s *server, j *Job) bool {
-	w := r.told.Workloads[j.Workload]
-	for _, e := range j.Executions {
-		if e.MayRun && w.Effect == Fingerprinted &&
-			(w.Scope == OneZone && e.Zone != s.Zone || w.Scope == OneCell && e.Cell != s.Cell) {
+		outside := s != nil && (w.Scope == OneZone && e.Zone != s.Zone || w.Scope == OneCell && e.Cell != s.Cell)
+		forgotten := now+travel >= e.Sent+w.Window
+		if e.MayRun && (w.Effect == RunOnce || w.Effect == Fingerprinted && (outside || forgotten)) {
 			return false
 		}
 	}
@@ -288,10 +278,8 @@
 
 // usable tells whether a job may go to a server at all.
 func (r *Router) usable(now Micros, s *server, j *Job) bool {
-	if s.State != Ready || now < s.avoidUntil || s.suspect && now < s.trialAt || !r.inGroup(s, j) {
-		return false
-	}
-	return r.coldRoom(now, s)
+	trial := !s.suspect || now >= s.trialAt
+	return s.State == Ready && now >= s.avoidUntil && trial && r.mayRepeat(now, j, s) && r.coldRoom(now, s)
 }
 
 // coldRoom keeps the fourth rule: within any window of the rule's length we send a cold server at most our
@@ -480,7 +468,8 @@
 
 func (r *Router) ration(now Micros) bool {
 	if r.told.LoadWindow > 0 {
-		r.orders, r.taken = after(r.orders, now-r.told.LoadWindow), after(r.taken, now-r.told.LoadWindow+r.told.Tick)
+		begin := now - r.told.LoadWindow
+		r.orders, r.taken = after(r.orders, begin), after(r.taken, begin+r.told.Tick)
 		if float64(len(r.orders)+1) > r.told.LoadFree+r.told.LoadShare*float64(len(r.taken)) {
 			return false
 		}
@@ -510,7 +499,7 @@
 		lone = lone || found && fl.lone
 		return found
 	})
-	r.learn(now, s, f, in, j, e, o, lone)
+	r.learn(now, f, in, j, o, lone)
 	if o.JobOver {
 		r.Left(now, j)
 		return Placement{Verb: Nothing}
@@ -518,7 +507,8 @@
 	return r.Place(now, j)
 }
 
-func (r *Router) learn(now Micros, s *server, f *function, in *instance, j *Job, e *Execution, o Outcome, lone bool) {
+func (r *Router) learn(now Micros, f *function, in *instance, j *Job, o Outcome, lone bool) {
+	s, e := in.server, &j.Executions[o.Execution]
 	if o.Report != nil {
 		s.report, s.reported = *o.Report, now
 	}
--- a/control/state.go
+++ b/control/state.go
@@ -86,7 +86,8 @@
 }
 
 func (r *Router) find(id ServerID) (int, bool) {
-	return slices.BinarySearchFunc(r.servers, id, func(s *server, id ServerID) int { return cmp.Compare(s.Server, id) })
+	return slices.BinarySearchFunc(r.servers, id,
+		func(s *server, id ServerID) int { return cmp.Compare(s.Server, id) })
 }
 
 func (f *function) at(s *server, add bool) *instance {
@@ -137,6 +138,12 @@
 	return f
 }
 
+// target is a job's start target, which may grow with its execution time.
+func (r *Router) target(j *Job, exec Micros) Micros {
+	w := r.told.Workloads[j.Workload]
+	return w.StartTarget + Micros(w.Stretch*float64(exec))
+}
+
 // samples keeps the last few measurements and when they were taken.
 type samples struct {
 	v, at [16]Micros
