--- a/control/control.go
+++ b/control/control.go
@@ -187,7 +187,7 @@
 	}
 	exec := r.exec(f, j)
 	whole := r.target(j, exec) - exec
-	slack := j.begun + whole - now
+	slack, margin := j.begun+whole-now, min(exec, whole/2) // the margin lets every fresh job in
 	if j.Repeat {
 		slack = 0 // the client's first try has used it up
 	}
@@ -198,7 +198,7 @@
 	if in := r.fullest(now, f, j); in != nil {
 		// Guards against an overload in which least slack first serves every job just too late: where a
 		// server is half full, a job that its queue would make late gives way to those that can be in time.
-		if s := in.server; r.warm(now, in) && slack < exec+r.queue(now, s, whole) && 2*s.busy >= int(s.window) {
+		if s := in.server; r.warm(now, in) && slack < margin+r.queue(now, s, whole) && 2*s.busy >= int(s.window) {
 			f.delays.add(now, whole)
 			return r.final(j)
 		}
@@ -221,7 +221,7 @@
 		stands = stands || in.server.sound() && r.warm(now, in)
 		comes = comes || in.server.sound() && r.underWay(now, in)
 	}
-	if stands && slack < exec && !comes {
+	if stands && slack < margin && !comes {
 		f.delays.add(now, whole)
 		return r.final(j) // as above: its copies are there and full
 	}
@@ -516,10 +516,7 @@
 	case Finished, Errored, Full, Missing:
 		r.hear(now, s)
 	case Reset, NoConnection:
-		r.sicken(now, s, "connections fail")
-		if o.Result == Reset {
-			r.forget(s, now) // what drops connections has most likely died, and holds nothing when it is back
-		}
+		r.broke(now, s)
 	}
 	switch {
 	case o.Found == LoadFailed || o.Result == Missing:
@@ -601,8 +598,18 @@
 		in.loading = 0
 		s.loadsAfter = now + loadPause
 	case Reset, NoConnection:
-		r.sicken(now, s, "orders fail")
-		in.copies, in.loading = 0, 0
+		in.loading = 0
+		r.broke(now, s)
+	}
+}
+
+// broke takes in a broken or refused connection. Guards against crashes: a second one with no answer between
+// makes a suspect, which holds nothing when it is back. One alone is no death: a flaky network breaks some
+// while the rest are answered, and to forget copies for it sets off loads without need.
+func (r *Router) broke(now Micros, s *server) {
+	if s.breaks++; s.breaks > 1 {
+		r.sicken(now, s, "connections fail")
+		r.forget(s, now)
 	}
 }
 
@@ -622,7 +629,7 @@
 const trialEvery = 500_000 // a suspect gets one job so often, more rarely each time that it fails
 
 func (r *Router) hear(now Micros, s *server) {
-	s.heard = now
+	s.heard, s.breaks = now, 0
 	if s.suspect {
 		s.suspect, s.setbacks = false, 0
 		r.note("server %x answers again", s.Server)
--- a/control/state.go
+++ b/control/state.go
@@ -48,6 +48,7 @@
 	trialAt  Micros
 	setbacks int
 	fulls    int // refusals since its last answer
+	breaks   int // broken connections since then
 }
 
 // flight is one execution that is out.
