--- a/control/control.go
+++ b/control/control.go
@@ -603,11 +603,11 @@
 	}
 }
 
-// broke takes in a broken or refused connection. Guards against crashes: a second one with no answer between
-// makes a suspect, which holds nothing when it is back. One alone is no death: a flaky network breaks some
-// while the rest are answered, and to forget copies for it sets off loads without need.
+// broke takes in a broken or refused connection. Guards against crashes: one after a silence, or a second with
+// no answer between, makes a suspect, which holds nothing when it is back. One alone is no death: a flaky
+// network breaks some while the rest are answered, and to forget copies for it sets off loads without need.
 func (r *Router) broke(now Micros, s *server) {
-	if s.breaks++; s.breaks > 1 {
+	if s.breaks++; s.breaks > 1 || now-s.heard > quantile(r.latencies.since(0), 0.5) {
 		r.sicken(now, s, "connections fail")
 		r.forget(s, now)
 	}
