--- a/control/control.go
+++ b/control/control.go
@@ -170,12 +170,12 @@
 
 // begun is when the client first asked. Guards against later tries, marked or not, that take the place of
 // jobs that can still be in time: a patience shorter than usual is what earlier tries have left. It harms
-// clients that are hasty by nature.
+// clients that are hasty by nature, so where clients mark repeats only the mark counts.
 func (r *Router) begun(now Micros, j *Job) Micros {
 	const noise = 30_000 // the way here takes a few ms, more or less
 	usual, patience := &r.patience[j.Workload], j.Patience-now
 	usual.add(now, patience)
-	if patience < quantile(usual.since(0), 0.8)-noise {
+	if !r.told.MarksRepeats && patience < quantile(usual.since(0), 0.8)-noise {
 		return min(j.Arrived, j.Patience-r.told.Workloads[j.Workload].TimeLimit)
 	}
 	return j.Arrived
--- a/control/types.go
+++ b/control/types.go
@@ -58,6 +58,7 @@
 	Cancels       bool
 	Probes        bool
 	SecondCopies  bool
+	MarksRepeats  bool // clients say when they ask again
 	ListOnRequest bool
 	AskEvery      Micros
 	ColdFrom      float64 // share of its capacity with which a server starts
--- a/internal/drill/records.go
+++ b/internal/drill/records.go
@@ -222,7 +222,7 @@
 	d := control.Deployment{
 		Routers: b.Balancers, Zone: control.ZoneID(b.Zone), Tick: control.Micros(b.Tick),
 		MaxExecutions: b.Ceilings.TryLimit, Cancels: b.Ceilings.Cancel, Probes: b.Ceilings.Probes,
-		SecondCopies: b.Ceilings.ParallelTries, ListOnRequest: b.Discovery == "on_request",
+		SecondCopies: b.Ceilings.ParallelTries, MarksRepeats: b.Clients.MarksRetry, ListOnRequest: b.Discovery == "on_request",
 		AskEvery: control.Micros(b.Contract.AskEvery), ColdFrom: b.Contract.ColdFrom,
 		Cold: control.Micros(b.Contract.Cold), Fall: control.Micros(b.Contract.Fall),
 		FallMultiple: b.Contract.FallMultiple, KeepAlive: control.Micros(b.Specifics.LingerIdle),
--- a/internal/wire/bootinfo.go
+++ b/internal/wire/bootinfo.go
@@ -26,6 +26,9 @@
 		Semantics  string  `json:"semantics"`
 		Window     int64   `json:"window"`
 	} `json:"classes"`
+	Clients struct {
+		MarksRetry bool `json:"marks_retry"`
+	} `json:"clients"`
 	Contract struct {
 		AskEvery     int64   `json:"ask_every"`
 		Cold         int64   `json:"cold"`
