--- a/control/control.go
+++ b/control/control.go
@@ -345,13 +345,13 @@
 func (r *Router) send(now Micros, f *function, j *Job, in *instance) Placement {
 	s := in.server
 	warm := r.warm(now, in)
-	j.Executions = append(j.Executions, Execution{Server: s.Server, Zone: s.Zone, Cell: s.Cell, Sent: now,
-		MayRun: true, warm: warm})
 	lone := 3*s.busy <= int(s.window) && s.report.Util < calm
+	j.Executions = append(j.Executions, Execution{Server: s.Server, Zone: s.Zone, Cell: s.Cell, Sent: now,
+		MayRun: true, warm: warm, lone: lone})
 	if warm {
 		s.busy++
 	}
-	s.flights = append(s.flights, flight{j, ExecutionID(len(j.Executions) - 1), now, warm, lone})
+	s.flights = append(s.flights, flight{j, ExecutionID(len(j.Executions) - 1), now, warm})
 	s.sent = append(after(s.sent, now-r.told.Fall), now)
 	if s.suspect {
 		s.trialAt = now + trialEvery<<min(s.setbacks, 3)
@@ -493,13 +493,8 @@
 	if e.warm {
 		s.busy--
 	}
-	lone := false
-	s.flights = slices.DeleteFunc(s.flights, func(fl flight) bool {
-		found := fl.job == j && fl.no == o.Execution
-		lone = lone || found && fl.lone
-		return found
-	})
-	r.learn(now, f, in, j, o, lone)
+	s.flights = slices.DeleteFunc(s.flights, func(fl flight) bool { return fl.job == j && fl.no == o.Execution })
+	r.learn(now, f, in, j, o)
 	if o.JobOver {
 		r.Left(now, j)
 		return Placement{Verb: Nothing}
@@ -507,7 +502,7 @@
 	return r.Place(now, j)
 }
 
-func (r *Router) learn(now Micros, f *function, in *instance, j *Job, o Outcome, lone bool) {
+func (r *Router) learn(now Micros, f *function, in *instance, j *Job, o Outcome) {
 	s, e := in.server, &j.Executions[o.Execution]
 	if o.Report != nil {
 		s.report, s.reported = *o.Report, now
@@ -536,7 +531,7 @@
 		in.used = now
 		exec := r.exec(f, j)
 		if o.Found == FoundWarm || o.Found == Untold && e.warm {
-			if lone || f.execs.n == 0 { // under a crowd the time is not the job's own
+			if e.lone || f.execs.n == 0 { // under a crowd the time is not the job's own
 				f.execs.add(now, o.Took)
 				r.execs[j.Workload].add(now, o.Took)
 			}
--- a/control/state.go
+++ b/control/state.go
@@ -57,7 +57,6 @@
 	no   ExecutionID
 	sent Micros
 	warm bool
-	lone bool // sent when few others of ours were there
 }
 
 // function is what a router knows of one function.
--- a/control/types.go
+++ b/control/types.go
@@ -186,6 +186,7 @@
 	MayRun bool // false once it is proven not to have run
 	warm   bool // sent to a copy believed loaded
 	recall bool
+	lone   bool // sent when few others of ours were there
 }
 
 // Verb is what is to be done with a job.
