--- a/control/control.go
+++ b/control/control.go
@@ -505,7 +505,7 @@
 func (r *Router) learn(now Micros, f *function, in *instance, j *Job, o Outcome) {
 	s, e := in.server, &j.Executions[o.Execution]
 	if o.Report != nil {
-		s.report, s.reported = *o.Report, now
+		s.report = *o.Report
 	}
 	switch o.Result {
 	case Finished, Errored, Full, Missing:
@@ -523,7 +523,9 @@
 		}
 		// Guards against a server that turns all away, full or draining before the list says so: each time
 		// without an answer between it is left alone for longer, and soon its copies count for nothing.
-		s.fulls++
+		if s.fulls++; in.out == 0 {
+			in.copies = 0 // none of ours runs there: the copy may have made way for others
+		}
 		s.avoidUntil = now + fullPause<<min(s.fulls, 5)
 		r.fit(now, s, 1000)
 	case o.Result == Finished:
@@ -612,12 +614,8 @@
 
 // Probed takes in what a probe found. An answer proves little beyond its load report.
 func (r *Router) Probed(now Micros, id ServerID, result Result, _ Micros, report *Report) {
-	i, known := r.find(id)
-	if !known {
-		return
-	}
-	if result == Finished && report != nil {
-		r.servers[i].report, r.servers[i].reported = *report, now
+	if i, known := r.find(id); known && result == Finished && report != nil {
+		r.servers[i].report = *report
 	}
 }
 
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -358,3 +358,74 @@
 		t.Errorf("got %v, want two orders within the ration", got)
 	}
 }
+
+// A flaky network breaks some connections while the rest are answered: that is no crash.
+func TestOneBreakIsNoDeath(t *testing.T) {
+	r := fleet(deployment(), 1)
+	in, s := stands(r, 1, 0), r.servers[0]
+	in.used = at - 1000
+	r.latencies.add(at, 100_000)
+	s.heard = at - 1000
+	if r.broke(at, s); s.suspect || in.copies != 1 {
+		t.Error("one break just after an answer made a suspect")
+	}
+	if r.broke(at, s); !s.suspect || in.copies != 0 {
+		t.Error("two breaks with no answer between are a crash")
+	}
+}
+
+// Later tries must not take the place of jobs that can still be in time.
+func TestBegun(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		marks bool
+		left  Micros
+		want  Micros
+	}{
+		{"first try", false, 3 * second, at},
+		{"what earlier tries left", false, 2 * second, at - 2*second},
+		{"hasty, where repeats are marked", true, 2 * second, at},
+	} {
+		told := deployment()
+		told.MarksRepeats, told.Workloads[0].TimeLimit = c.marks, 4*second
+		r := fleet(told, 1)
+		for range 15 {
+			r.patience[0].add(at, 3*second)
+		}
+		j := newJob(1)
+		j.Patience = at + c.left
+		if got := r.begun(at, j); got != c.want {
+			t.Errorf("%s: got %d, want %d", c.name, got, c.want)
+		}
+	}
+}
+
+// A heavy tail must not distort B.
+func TestExecutionTimeLeavesOutTheFarTail(t *testing.T) {
+	r := fleet(deployment(), 1)
+	j := newJob(1)
+	j.Work = 0
+	f := r.function(j)
+	for _, v := range []Micros{100_000, 120_000, 80_000, 100_000, 3 * second} {
+		f.execs.add(at, v)
+	}
+	if got := r.exec(f, j); got != 100_000 {
+		t.Errorf("got %d, want the mean of the four usual ones", got)
+	}
+}
+
+// A full fleet gains nothing from further copies.
+func TestFurtherCopyOnlyWhereThereIsRoom(t *testing.T) {
+	r := fleet(deployment(), 2)
+	stands(r, 1, 0)
+	full, s := r.servers[0], r.servers[1]
+	full.window, full.busy = 10, 9
+	s.window, s.busy = 10, 8
+	if got := r.loadTarget(at, r.functions[7], newJob(1), true); got != nil {
+		t.Errorf("got server %d, want none", got.Server)
+	}
+	s.busy = 2
+	if got := r.loadTarget(at, r.functions[7], newJob(1), true); got == nil || got.Server != 2 {
+		t.Errorf("got %v, want server 2", got)
+	}
+}
--- a/control/state.go
+++ b/control/state.go
@@ -31,24 +31,23 @@
 // server is what a router believes of one server.
 type server struct {
 	Listing
-	listed  bool
-	heard   Micros // last sign that it works
-	flights []flight
-	busy    int      // flights believed to run, not to wait for a load
-	sent    []Micros // recent sends, while it is cold
-	done    []Micros // recent answers
-	report  Report
-	reported,
-	avoidUntil,
-	loadsAfter Micros
-	window   float64 // how many executions of ours it bears at once, see fit
-	narrowed Micros
-	strain   samples // queueing there, in thousandths of the job's slack
-	suspect  bool
-	trialAt  Micros
-	setbacks int
-	fulls    int // refusals since its last answer
-	breaks   int // broken connections since then
+	listed     bool
+	heard      Micros // last sign that it works
+	flights    []flight
+	busy       int      // flights believed to run, not to wait for a load
+	sent       []Micros // recent sends, while it is cold
+	done       []Micros // recent answers
+	report     Report
+	avoidUntil Micros  // after a refusal
+	loadsAfter Micros  // after a refused load
+	window     float64 // how many executions of ours it bears at once, see fit
+	narrowed   Micros
+	strain     samples // queueing there, in thousandths of the job's slack
+	suspect    bool
+	trialAt    Micros // when a suspect gets its next job
+	setbacks   int    // times that it was found sick in a row
+	fulls      int    // refusals since its last answer
+	breaks     int    // broken connections since then
 }
 
 // flight is one execution that is out.
