Suspects without copies get trial loads; a told restart clears suspicion

Cause (found by reading): a crash forgets a server's copies, and suspects got trials only where copies were believed, so a crashed server never came back to that router. Also guards against servers that hang beyond the keep-alive or refuse for long. It may cost one job a trial.

--- a/control/control.go
+++ b/control/control.go
@@ -36,6 +36,7 @@
 		s := r.servers[i]
 		if known && l.Born > s.Born {
 			r.forget(s, l.Born)
+			s.suspect, s.setbacks, s.fulls, s.window = false, 0, 0, 0
 		}
 		s.Listing, s.listed = l, true
 	}
@@ -389,8 +390,8 @@
 	}
 	var cs []choice
 	for _, s := range r.servers {
-		if !s.sound() || now < s.avoidUntil {
-			continue
+		if s.State != Ready || now < s.avoidUntil || s.suspect && now < s.trialAt {
+			continue // one that is due a trial stays in: without it a suspect with no copies would stay one
 		}
 		free := max(0.05, min(1-s.report.Util, s.room()))
 		weight := free * free * max(0.1, s.Power) / (1 + max(0, s.report.Loads))
@@ -708,7 +709,7 @@
 		busy++
 		for _, fl := range s.flights {
 			allowed := limit
-			if !fl.warm {
+			if !fl.warm && !s.suspect {
 				allowed += 3 * r.loadTime(fl.job)
 			}
 			if now-max(fl.sent, s.heard) > allowed {
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -429,3 +429,21 @@
 		t.Errorf("got %v, want server 2", got)
 	}
 }
+
+// A suspect whose copies are forgotten must come back: by a told restart at once, else by a trial load.
+func TestSuspectsComeBack(t *testing.T) {
+	r := fleet(deployment(), 1)
+	s, f := r.servers[0], r.function(newJob(1))
+	f.askedAt = at - second
+	s.suspect, s.trialAt = true, at+second
+	if p := r.Place(at, newJob(1)); p.Verb != Hold {
+		t.Errorf("got %+v before a trial is due", p)
+	}
+	if p := r.Place(at+second, newJob(2)); p.Verb != Send || s.trialAt <= at+second {
+		t.Errorf("got %+v, next trial at %d; want one trial load", p, s.trialAt)
+	}
+	r.Listed(at+second, ListChanges, []Listing{{Server: 1, State: Ready, Born: at + second}})
+	if s.suspect {
+		t.Error("a told restart clears the suspicion")
+	}
+}
