--- a/control/control.go
+++ b/control/control.go
@@ -154,6 +154,7 @@
 		}
 	}
 	p := r.place(now, f, j)
+	p.Again = min(p.Again, j.Patience-2*r.told.Tick) // rule 1, whatever the job waits for
 	if hold := p.Verb == Hold; hold != j.held {
 		if hold {
 			if f.held++; f.held == 1 {
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -447,3 +447,16 @@
 		t.Error("a told restart clears the suspicion")
 	}
 }
+
+// Rule 1: a job that waits for an order where only orders load is asked about again in time, too.
+func TestWaitForAnOrderEndsBeforePatience(t *testing.T) {
+	told := deployment()
+	told.LoadsOnMiss = false
+	r := fleet(told, 1)
+	j := newJob(1)
+	r.function(j).askedAt = at - second
+	j.Patience = at + 75_000
+	if p := r.Place(at, j); p.Verb != Hold || p.Again >= j.Patience {
+		t.Errorf("got %+v, want it asked about again before %d", p, j.Patience)
+	}
+}
