--- a/control/control_test.go
+++ b/control/control_test.go
@@ -448,10 +448,10 @@
 	}
 }
 
-// Rule 1: a job that waits for an order where only orders load is asked about again in time, too.
+// Rule 1: a job that waits for a load that may not be ordered yet is asked about again in time, too.
 func TestWaitForAnOrderEndsBeforePatience(t *testing.T) {
 	told := deployment()
-	told.LoadsOnMiss = false
+	told.LoadsOnMiss, told.Orders = false, false
 	r := fleet(told, 1)
 	j := newJob(1)
 	r.function(j).askedAt = at - second
