--- /dev/null
+++ b/internal/core/core.go
@@ -0,0 +1,205 @@
+// Package core keeps one router's jobs in hand and takes its turns. It asks the decision module and hands what the
+// module answers to an outlet: the bench's frames, the gateway's sockets. It decides nothing.
+//
+// A turn is: all that was heard since the last one (Arrived, Answered, Listed, Left, Loaded), then Turn, which asks
+// for the upkeep if due, then for every held job in the order of its rank, then sets the one alarm. What a turn does
+// follows from what it heard, the clock handed to it and the seed alone.
+package core
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+
+	"hollymast/control"
+)
+
+// Decider is what the core asks. control.Router is the one that serves; a laboratory may put a baseline in its place.
+type Decider interface {
+	Listed(now control.Micros, kind control.ListKind, list []control.Listing)
+	Rank(now control.Micros, j *control.Job) control.Micros
+	Place(now control.Micros, j *control.Job) control.Placement
+	After(now control.Micros, j *control.Job, o control.Outcome) control.Placement
+	Left(now control.Micros, j *control.Job)
+	Loaded(now control.Micros, s control.ServerID, f control.FunctionID, result control.Result, took control.Micros, copies int)
+	Wait(now control.Micros) control.Upkeep
+}
+
+// Outlet carries out what the module answers, within the turn and in the order asked. No method may block or call
+// back into the core.
+type Outlet interface {
+	// Send starts an execution, numbered from 0 for each job, that may take up to allow.
+	Send(j *control.Job, no control.ExecutionID, to control.ServerID, allow control.Micros)
+	// PushBack and Kill give a job its final answer.
+	PushBack(id control.JobID, stayAway control.Micros)
+	Kill(id control.JobID)
+	// CallOff stops waiting for an execution; its outcome is still to be reported.
+	CallOff(id control.JobID, no control.ExecutionID)
+	// Order orders copies for the sake of a job.
+	Order(j *control.Job, o control.Order)
+	// Subscribe asks for changes of the list, Note writes a line in the log.
+	Subscribe()
+	Note(text string)
+	// Alarm asks for a turn at a time at the latest; a later call replaces an earlier one that has passed or is later.
+	Alarm(at control.Micros)
+}
+
+// Core is one router's jobs in hand round its decider. It is not safe for use by several goroutines.
+type Core struct {
+	ask   Decider
+	out   Outlet
+	jobs  map[control.JobID]*inHand
+	held  []*inHand
+	spare []*inHand      // the other array for held, so that a turn allocates none
+	next  control.Micros // upkeep falls due
+	alarm control.Micros // earliest alarm asked for and not yet passed; 0: none
+}
+
+// inHand is a job, or what is left of one with executions still out.
+type inHand struct {
+	job   control.Job
+	rank  control.Micros
+	again control.Micros
+	held  bool
+	over  bool
+	out   int // executions without an outcome
+}
+
+// New gives a core with no job in hand.
+func New(ask Decider, out Outlet) *Core {
+	return &Core{ask: ask, out: out, jobs: map[control.JobID]*inHand{}}
+}
+
+// Jobs counts the jobs in hand, those included that are over and have executions out; Held those that wait here.
+func (c *Core) Jobs() int { return len(c.jobs) }
+
+// Held counts the jobs that wait for a place. Between Arrived and Turn a new job counts.
+func (c *Core) Held() int { return len(c.held) }
+
+// Listed passes on the list of servers.
+func (c *Core) Listed(now control.Micros, kind control.ListKind, list []control.Listing) {
+	c.ask.Listed(now, kind, list)
+}
+
+// Loaded passes on the answer to an order.
+func (c *Core) Loaded(now control.Micros, s control.ServerID, f control.FunctionID, result control.Result,
+	took control.Micros, copies int) {
+	c.ask.Loaded(now, s, f, result, took, copies)
+}
+
+// Arrived takes a job in hand; the next Turn places it. An id must not come twice: that is an error.
+func (c *Core) Arrived(now control.Micros, job control.Job) error {
+	if c.jobs[job.ID] != nil {
+		return fmt.Errorf("job %d came twice", job.ID)
+	}
+	h := &inHand{job: job}
+	h.rank = c.ask.Rank(now, &h.job)
+	c.jobs[job.ID] = h
+	c.hold(h)
+	return nil
+}
+
+// Answered passes on the end of an execution and does with its job what the module answers. The caller sets JobOver
+// where the outcome itself gave the client its final answer. News of a job no longer in hand is passed over; the
+// result tells whether the job was still without a final answer.
+func (c *Core) Answered(now control.Micros, id control.JobID, o control.Outcome) bool {
+	h := c.jobs[id]
+	if h == nil || int(o.Execution) >= len(h.job.Executions) || h.job.Executions[o.Execution].Done {
+		return false
+	}
+	open := !h.over
+	h.out--
+	o.JobOver = o.JobOver || h.over
+	p := c.ask.After(now, &h.job, o)
+	if o.JobOver {
+		c.end(h)
+	} else {
+		c.carry(h, p)
+	}
+	return open
+}
+
+// Open tells whether a job still awaits its final answer.
+func (c *Core) Open(id control.JobID) bool {
+	h := c.jobs[id]
+	return h != nil && !h.over
+}
+
+// Left ends a job that its client no longer wants.
+func (c *Core) Left(now control.Micros, id control.JobID) {
+	if h := c.jobs[id]; h != nil && !h.over {
+		c.ask.Left(now, &h.job)
+		c.end(h)
+	}
+}
+
+// Turn ends a turn: it asks for the upkeep if due and again for every held job, and sets the alarm.
+func (c *Core) Turn(now control.Micros) {
+	if now >= c.next {
+		up := c.ask.Wait(now)
+		c.next = up.Next
+		for _, r := range up.Recalls {
+			c.out.CallOff(r.Job, r.Execution)
+		}
+		if up.Subscribe {
+			c.out.Subscribe()
+		}
+		for _, text := range up.Notes {
+			c.out.Note(text)
+		}
+	}
+	slices.SortStableFunc(c.held, func(a, b *inHand) int { return cmp.Compare(a.rank, b.rank) })
+	asked := c.held
+	c.held = c.spare[:0]
+	for _, h := range asked {
+		if h.held = false; !h.over {
+			c.carry(h, c.ask.Place(now, &h.job))
+		}
+	}
+	clear(asked)
+	c.spare = asked[:0]
+	wake := c.next
+	for _, h := range c.held {
+		wake = min(wake, h.again)
+	}
+	wake = max(wake, now+1)
+	if c.alarm <= now || wake < c.alarm {
+		c.alarm = wake
+		c.out.Alarm(wake)
+	}
+}
+
+// carry does with a job what the module answered.
+func (c *Core) carry(h *inHand, p control.Placement) {
+	for _, o := range p.Orders {
+		c.out.Order(&h.job, o)
+	}
+	switch p.Verb {
+	case control.Send:
+		h.out++
+		c.out.Send(&h.job, control.ExecutionID(len(h.job.Executions)-1), p.Server, p.Allow)
+	case control.Hold:
+		h.rank, h.again = p.Rank, p.Again
+		c.hold(h)
+	case control.PushBack:
+		c.out.PushBack(h.job.ID, p.StayAway)
+		c.end(h)
+	case control.Kill:
+		c.out.Kill(h.job.ID)
+		c.end(h)
+	}
+}
+
+func (c *Core) hold(h *inHand) {
+	if !h.held {
+		h.held = true
+		c.held = append(c.held, h)
+	}
+}
+
+func (c *Core) end(h *inHand) {
+	h.over = true
+	if h.out == 0 {
+		delete(c.jobs, h.job.ID)
+	}
+}
--- a/internal/drill/drill.go
+++ b/internal/drill/drill.go
@@ -1,16 +1,15 @@
-// Package drill hosts routers behind the simulator's wire. It keeps each router's jobs in hand and its
-// one timer, turns records into calls on the decision module and answers into records; it decides nothing.
+// Package drill hosts routers behind the simulator's wire: it turns records into calls on each router's core, and
+// what the core asks for into records. It decides nothing.
 package drill
 
 import (
 	"bufio"
-	"cmp"
 	"encoding/binary"
 	"fmt"
 	"io"
-	"slices"
 
 	"hollymast/control"
+	"hollymast/internal/core"
 	"hollymast/internal/wire"
 )
 
@@ -56,7 +55,7 @@
 	}
 	var parts []*wire.Replies
 	for _, r := range h.touched {
-		r.guard(func() { r.settle(now) })
+		r.guard(func() { r.core.Turn(now) })
 		if r.broke != "" {
 			parts = append(parts, r.start())
 			r.out.BailOut(r.broke)
@@ -68,31 +67,17 @@
 	return parts, nil
 }
 
-// router is one hosted instance: the module, the jobs in hand and the one timer kept for it.
+// router is one hosted instance: a core, and the outlet that writes its records.
 type router struct {
 	number    uint32
-	control   *control.Router
+	core      *core.Core
 	fields    []string // of a load report
 	workloads int
-	jobs      map[control.JobID]*inHand
-	held      []*inHand
-	next      control.Micros // upkeep falls due
-	alarm     control.Micros // earliest reminder asked for and not yet fired; 0: none
 	out       *wire.Replies
 	touched   bool
 	broke     string
 }
 
-// inHand is a job, or what is left of one with executions still out.
-type inHand struct {
-	job   control.Job
-	rank  control.Micros
-	again control.Micros
-	held  bool
-	over  bool
-	out   int // executions without an outcome
-}
-
 func (r *router) start() *wire.Replies {
 	if r.out == nil {
 		r.out = &wire.Replies{}
@@ -103,7 +88,7 @@
 
 // guard turns a panic of the module into the text of a bail_out.
 func (r *router) guard(f func()) {
-	if r.control == nil || r.broke != "" {
+	if r.core == nil || r.broke != "" {
 		return
 	}
 	defer func() {
@@ -114,80 +99,31 @@
 	f()
 }
 
-// settle asks again for every job in hand, then for the upkeep, and sets the timer.
-func (r *router) settle(now control.Micros) {
-	if now >= r.next {
-		up := r.control.Wait(now)
-		r.next = up.Next
-		for _, c := range up.Recalls {
-			r.start().UndoSend(uint64(c.Job), uint16(c.Execution))
-		}
-		if up.Subscribe {
-			r.start().Watch(true)
-		}
-		for _, text := range up.Notes {
-			r.start().Record(text)
-		}
-	}
-	slices.SortStableFunc(r.held, func(a, b *inHand) int { return cmp.Compare(a.rank, b.rank) })
-	asked := r.held
-	r.held = nil
-	for _, h := range asked {
-		if h.held = false; !h.over {
-			r.carry(h, r.control.Place(now, &h.job))
-		}
-	}
-	wake := r.next
-	for _, h := range r.held {
-		wake = min(wake, h.again)
-	}
-	wake = max(wake, now+1)
-	if r.alarm <= now || wake < r.alarm {
-		r.alarm = wake
-		r.start().Remind(uint64(wake), 0)
-	}
+// Send, PushBack, Kill, CallOff, Order, Subscribe, Note and Alarm write what the core asks for.
+func (r *router) Send(j *control.Job, _ control.ExecutionID, to control.ServerID, allow control.Micros) {
+	r.start().Attempt(uint64(j.ID), address(to), uint32(allow))
 }
 
-// carry does with a job what the module answered.
-func (r *router) carry(h *inHand, p control.Placement) {
-	r.order(p.Orders)
-	id := uint64(h.job.ID)
-	switch p.Verb {
-	case control.Send:
-		h.out++
-		r.start().Attempt(id, address(p.Server), uint32(p.Allow))
-	case control.Hold:
-		h.rank, h.again = p.Rank, p.Again
-		r.hold(h)
-	case control.PushBack:
-		r.start().TurnAway(id, uint32(p.StayAway))
-		r.end(h)
-	case control.Kill:
-		r.start().GiveUp(id)
-		r.end(h)
-	}
+func (r *router) PushBack(id control.JobID, stayAway control.Micros) {
+	r.start().TurnAway(uint64(id), uint32(stayAway))
 }
 
-func (r *router) hold(h *inHand) {
-	if !h.held {
-		h.held = true
-		r.held = append(r.held, h)
-	}
-}
+func (r *router) Kill(id control.JobID) { r.start().GiveUp(uint64(id)) }
 
-func (r *router) end(h *inHand) {
-	h.over = true
-	if h.out == 0 {
-		delete(r.jobs, h.job.ID)
-	}
+func (r *router) CallOff(id control.JobID, no control.ExecutionID) {
+	r.start().UndoSend(uint64(id), uint16(no))
 }
 
-func (r *router) order(orders []control.Order) {
-	for _, o := range orders {
-		r.start().Preload(address(o.Server), uint64(o.Function), uint8(o.Copies))
-	}
+func (r *router) Order(_ *control.Job, o control.Order) {
+	r.start().Preload(address(o.Server), uint64(o.Function), uint8(o.Copies))
 }
 
+func (r *router) Subscribe() { r.start().Watch(true) }
+
+func (r *router) Note(text string) { r.start().Record(text) }
+
+func (r *router) Alarm(at control.Micros) { r.start().Remind(uint64(at), 0) }
+
 func serverID(s wire.Server) control.ServerID {
 	return control.ServerID(binary.BigEndian.Uint32(s[:]))<<16 | control.ServerID(binary.BigEndian.Uint16(s[4:]))
 }
--- a/internal/drill/records.go
+++ b/internal/drill/records.go
@@ -4,6 +4,7 @@
 	"fmt"
 
 	"hollymast/control"
+	"hollymast/internal/core"
 	"hollymast/internal/wire"
 )
 
@@ -51,9 +52,8 @@
 	}
 	number, touched, out := h.current.number, h.current.touched, h.current.out
 	*h.current = router{number: number, touched: touched, out: out, fields: boot.Report.Fields,
-		workloads: len(boot.Classes),
-		jobs:      map[control.JobID]*inHand{}}
-	h.current.control = control.Start(h.now, seed, told)
+		workloads: len(boot.Classes)}
+	h.current.core = core.New(control.Start(h.now, seed, told), h.current)
 	return nil
 }
 
@@ -93,7 +93,7 @@
 		list[i] = control.Listing{Server: serverID(e.Server), State: state, Zone: control.ZoneID(e.Zone),
 			Cell: control.CellID(e.Cell), Power: float64(e.Power), Born: control.Micros(e.Born)}
 	}
-	return h.with(func(r *router) error { r.control.Listed(h.now, kind, list); return nil })
+	return h.with(func(r *router) error { r.core.Listed(h.now, kind, list); return nil })
 }
 
 // Option bits of an inbound request.
@@ -108,17 +108,14 @@
 		if int(in.Type) >= r.workloads {
 			return fmt.Errorf("unknown class %d", in.Type)
 		}
-		job := &inHand{job: control.Job{ID: control.JobID(in.ID), Workload: control.WorkloadID(in.Type),
+		job := control.Job{ID: control.JobID(in.ID), Workload: control.WorkloadID(in.Type),
 			Tenant: control.TenantID(in.Tenant), Function: control.FunctionID(in.Function),
 			Lanes: int(in.Width), LoadTime: control.Micros(in.LoadMS * 1000),
-			Arrived: h.now, Patience: h.now + control.Micros(in.Patience), Repeat: in.Options&repeats != 0}}
+			Arrived: h.now, Patience: h.now + control.Micros(in.Patience), Repeat: in.Options&repeats != 0}
 		if in.Options&costTold != 0 {
-			job.job.Work = control.Micros(in.Cost)
+			job.Work = control.Micros(in.Cost)
 		}
-		job.rank = r.control.Rank(h.now, &job.job)
-		r.jobs[job.job.ID] = job
-		r.hold(job)
-		return nil
+		return r.core.Arrived(h.now, job)
 	})
 }
 
@@ -135,20 +132,9 @@
 		return err
 	}
 	return h.with(func(r *router) error {
-		job := r.jobs[control.JobID(v.ID)]
-		if job == nil || int(v.Trial) >= len(job.job.Executions) {
-			return nil
-		}
-		job.out--
-		o := control.Outcome{Execution: control.ExecutionID(v.Trial), Server: serverID(v.Server), Result: result,
-			Found: control.Found(v.Note & 7), Took: control.Micros(v.Duration),
-			JobOver: v.Last || job.over, Report: r.report(v.Load)}
-		p := r.control.After(h.now, &job.job, o)
-		if o.JobOver {
-			r.end(job)
-			return nil
-		}
-		r.carry(job, p)
+		r.core.Answered(h.now, control.JobID(v.ID), control.Outcome{Execution: control.ExecutionID(v.Trial),
+			Server: serverID(v.Server), Result: result, Found: control.Found(v.Note & 7),
+			Took: control.Micros(v.Duration), JobOver: v.Last, Report: r.report(v.Load)})
 		return nil
 	})
 }
@@ -156,10 +142,7 @@
 // ClientLeft ends a job that its client no longer wants.
 func (h *host) ClientLeft(id uint64) error {
 	return h.with(func(r *router) error {
-		if job := r.jobs[control.JobID(id)]; job != nil && !job.over {
-			r.control.Left(h.now, &job.job)
-			r.end(job)
-		}
+		r.core.Left(h.now, control.JobID(id))
 		return nil
 	})
 }
@@ -185,7 +168,7 @@
 		return err
 	}
 	return h.with(func(r *router) error {
-		r.control.Loaded(h.now, serverID(s), control.FunctionID(function), result, control.Micros(took), int(held))
+		r.core.Loaded(h.now, serverID(s), control.FunctionID(function), result, control.Micros(took), int(held))
 		return nil
 	})
 }
