--- /dev/null
+++ b/cmd/hmlab/main.go
@@ -0,0 +1,117 @@
+// Command hmlab is the laboratory: it plays days against real routers on loopback and judges them.
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"os"
+	"os/signal"
+	"path/filepath"
+	"syscall"
+	"time"
+
+	"hollymast/internal/lab"
+	"hollymast/internal/program"
+)
+
+type cli struct {
+	Day day `cmd:"" help:"Play a scripted bad day and judge the five rules from what crossed the sockets."`
+}
+
+func main() {
+	var c cli
+	ctx := program.Parse(&c, "hmlab", "The laboratory of hollymast.")
+	program.Exit("hmlab", ctx.Run())
+}
+
+type day struct {
+	Seed    uint64        `default:"1" help:"Seed of the day."`
+	Jobs    int           `help:"Jobs; 0: as the script says."`
+	Routers int           `help:"Routers; 0: as the script says."`
+	Workers int           `help:"Workers; 0: as the script says."`
+	Script  string        `help:"Script of the day (INI); without, the built-in bad day." type:"path"`
+	Router  string        `help:"The router's program; without, hollymast beside this one." type:"path"`
+	JSON    bool          `name:"json" help:"Print the result as JSON before the verdict."`
+	Most    time.Duration `default:"10m" help:"End the day after this time, whatever happens."`
+}
+
+func (d day) Run() error {
+	var text []byte
+	if d.Script != "" {
+		var err error
+		if text, err = os.ReadFile(d.Script); err != nil {
+			return program.Use{Err: err}
+		}
+	}
+	script, err := lab.ReadDay(d.Script, text)
+	if err != nil {
+		return err
+	}
+	script.Seed = d.Seed
+	for _, x := range []struct {
+		flag int
+		to   *int
+	}{{d.Jobs, &script.Jobs}, {d.Routers, &script.Routers}, {d.Workers, &script.Workers}} {
+		if x.flag < 0 {
+			return program.Use{Err: fmt.Errorf("a count below zero")}
+		}
+		if x.flag > 0 {
+			*x.to = x.flag
+		}
+	}
+	if d.Router == "" {
+		self, err := os.Executable()
+		if err != nil {
+			return err
+		}
+		d.Router = filepath.Join(filepath.Dir(self), "hollymast")
+	}
+	if _, err := os.Stat(d.Router); err != nil {
+		return program.Use{Err: err}
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	ctx, cancel := context.WithTimeout(ctx, d.Most)
+	defer cancel()
+	res, err := lab.Run(ctx, script, d.Router)
+	if res == nil {
+		return err
+	}
+	if d.JSON {
+		b, jerr := json.MarshalIndent(res, "", "  ")
+		if jerr != nil {
+			return jerr
+		}
+		fmt.Println(string(b))
+	} else {
+		table(res)
+	}
+	word := "kept"
+	if !res.Kept() {
+		word = "broken"
+	}
+	fmt.Printf("verdict: %s jobs=%d finished=%d pushed_back=%d killed=%d unanswered=%d in_time=%.3f\n", word, res.Jobs, res.Finished,
+		res.PushedBack, res.Killed, res.Unanswered, res.InTime)
+	if !res.Kept() && err == nil {
+		err = fmt.Errorf("a rule was broken")
+	}
+	return err
+}
+
+func table(res *lab.Result) {
+	fmt.Printf("%-40s %8d\n%-40s %8d\n%-40s %8d\n%-40s %8d\n%-40s %8d\n%-40s %8d\n%-40s %8d\n%-40s %8.3f\n", "jobs (tries of clients)", res.Jobs,
+		"finished", res.Finished, "pushed back", res.PushedBack, "killed", res.Killed, "left by their clients", res.Left,
+		"excused: their router was halted", res.Excused, "repeats by a router", res.Repeats,
+		"executions a job", float64(res.Executions)/float64(max(1, res.Jobs)))
+	for _, r := range res.Rules {
+		word := "kept"
+		if r.Count > 0 {
+			word = fmt.Sprintf("BROKEN %d times", r.Count)
+		}
+		fmt.Printf("rule %d, %-32s %8d chances  %s\n", r.Number, r.Name, r.Opportunities, word)
+		for _, b := range r.Breaches {
+			fmt.Println("   ", b)
+		}
+	}
+}
--- /dev/null
+++ b/cmd/hollymast/main.go
@@ -0,0 +1,121 @@
+// Command hollymast is the router.
+package main
+
+import (
+	"context"
+	_ "embed"
+	"errors"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/rs/zerolog"
+
+	"hollymast/internal/gateway"
+	"hollymast/internal/inifile"
+	"hollymast/internal/program"
+)
+
+//go:embed example.ini
+var example string
+
+type cli struct {
+	Serve serve   `cmd:"" help:"Route jobs until told to stop."`
+	Check check   `cmd:"" help:"Tell all that is wrong with a settings file, and do nothing else."`
+	Show  showing `cmd:"" name:"example" help:"Print a commented settings file."`
+}
+
+func main() {
+	var c cli
+	ctx := program.Parse(&c, "hollymast", "Routes KServe v2 calls to workers that load functions on demand.")
+	program.Exit("hollymast", ctx.Run())
+}
+
+type showing struct{}
+
+func (showing) Run() error {
+	fmt.Print(example)
+	return nil
+}
+
+type check struct {
+	File string `arg:"" help:"Settings file (INI)."`
+}
+
+func (c check) Run() error {
+	_, err := read(c.File)
+	return err
+}
+
+func read(name string) (*gateway.Told, error) {
+	f, err := inifile.Load(name)
+	if err != nil {
+		return nil, program.Use{Err: err}
+	}
+	return gateway.ReadTold(f)
+}
+
+type serve struct {
+	File string `arg:"" help:"Settings file (INI)."`
+}
+
+func (s serve) Run() error {
+	told, err := read(s.File)
+	if err != nil {
+		return err
+	}
+	zerolog.SetGlobalLevel(zerolog.DebugLevel)
+	log := program.Log(os.Stderr, "hollymast", "debug")
+	level(told)
+	g, err := gateway.New(told, log)
+	if err != nil {
+		return err
+	}
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	ctx, stop := context.WithCancel(context.Background())
+	defer stop()
+	go func() {
+		stopping := false
+		for sig := range signals {
+			switch {
+			case sig == syscall.SIGHUP:
+				reload(s.File, told, g, log)
+			case stopping:
+				log.Warn().Msg("told to stop again: ending at once")
+				os.Exit(program.Found)
+			default:
+				stopping = true
+				stop()
+			}
+		}
+	}()
+	log.Info().Str("listen", g.Address()).Str("admin", g.AdminAddress()).Int("number", told.Deployment.Number).
+		Int("routers", told.Deployment.Routers).Msg("serving")
+	return g.Serve(ctx)
+}
+
+func level(told *gateway.Told) {
+	if l, err := zerolog.ParseLevel(told.LogLevel); err == nil {
+		zerolog.SetGlobalLevel(l)
+	}
+}
+
+// reload takes in what can change in service: the list of servers and the log level.
+func reload(name string, told *gateway.Told, g *gateway.Gateway, log zerolog.Logger) {
+	fresh, err := read(name)
+	var faults *inifile.Faults
+	if errors.As(err, &faults) {
+		log.Error().Strs("faults", faults.Lines).Msg("settings refused: the old ones stand")
+	} else if err != nil {
+		log.Error().Err(err).Msg("settings refused: the old ones stand")
+	} else {
+		level(fresh)
+		if rest := gateway.NeedRestart(told, fresh); len(rest) > 0 {
+			log.Warn().Strs("changed", rest).Msg("these need a restart; the old ones stand")
+		}
+	}
+	g.Refresh()
+	log.Info().Msg("reloaded")
+}
--- /dev/null
+++ b/internal/audit/log.go
@@ -0,0 +1,85 @@
+// Package audit judges the five rules from what crossed the sockets: records taken by clients and model servers at
+// their ends of the wire. It knows neither the gateway nor its core, and takes no router's word for anything.
+package audit
+
+import (
+	"slices"
+	"sync"
+	"time"
+)
+
+// Kind is what a record tells.
+type Kind uint8
+
+// The records of clients, of model servers, and of whoever runs the day.
+const (
+	Asked    Kind = iota // a client has written a job whole
+	Answered             // it has read the final answer; Word tells which
+	GaveUp               // its patience ended without one
+	LeftIt               // it left of its own will before
+	Untaken              // it could not write the job whole
+
+	Received // a server has read an execution whole
+	Began    // it runs it
+	Ended    // it ran it to the end
+	Refused  // it promised that it did not run it
+	Dropped  // it knew the repeat and did not run it again
+	Ordered  // it has read an order to load
+	Started  // the server started, cold
+	FellOver // it was pushed over
+
+	Told   // the list that routers read was written with the server's state in Word: ready, draining or gone
+	Halted // a router was frozen, killed or told to end
+	Back   // it runs again
+)
+
+// The final answers.
+const (
+	Finished   = "finished"
+	PushedBack = "pushed back"
+	Killed     = "killed"
+	Other      = "other" // a refusal before the job was taken
+)
+
+// Record is one thing seen at one end of a wire. Times are microseconds of one monotonic clock.
+type Record struct {
+	At       int64
+	Kind     Kind
+	Job      string // one try of a client
+	Effect   string // what its tries mean to do, once
+	Workload string
+	Server   int
+	Router   int
+	Limit    int64 // of Asked: when the client's patience ends
+	Word     string
+}
+
+// Log gathers records from many goroutines.
+type Log struct {
+	base time.Time
+	mu   sync.Mutex
+	recs []Record
+}
+
+// NewLog gives an empty log whose time 0 is now.
+func NewLog() *Log { return &Log{base: time.Now()} }
+
+// Now is the log's time.
+func (l *Log) Now() int64 { return time.Since(l.base).Microseconds() }
+
+// Add stamps a record and keeps it.
+func (l *Log) Add(r Record) {
+	l.mu.Lock()
+	r.At = l.Now()
+	l.recs = append(l.recs, r)
+	l.mu.Unlock()
+}
+
+// Records gives all records in the order of their times.
+func (l *Log) Records() []Record {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	rs := slices.Clone(l.recs)
+	slices.SortStableFunc(rs, func(a, b Record) int { return int(a.At - b.At) })
+	return rs
+}
--- /dev/null
+++ b/internal/fleet/fleet.go
@@ -0,0 +1,134 @@
+// Package fleet turns lists of servers, as a source tells them, into the module's words. It is free of I/O and clocks.
+//
+// What it decides is how old a server is. Lists carry the time of a server's start by some other machine's wall clock;
+// the router's time only goes forward. A clock set back or forward must make no server look older than it can be, since
+// a cold one would then be sent more than it bears (rule 4).
+package fleet
+
+import (
+	"cmp"
+	"net/netip"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"hollymast/control"
+)
+
+// Entry is one server as a list tells it.
+type Entry struct {
+	Address string
+	State   control.ServerState
+	Zone    string
+	Cell    string
+	Power   float64
+	Born    int64 // wall clock, microseconds since 1970; 0: long ago
+}
+
+// Server is what the fleet keeps of a server.
+type Server struct {
+	ID      control.ServerID
+	Address string
+	State   control.ServerState
+	told    int64          // the start as the list told it
+	born    control.Micros // brought into the router's time
+}
+
+// Fleet is the list as last told.
+type Fleet struct {
+	offset  int64 // wall clock at the router's time 0, fixed at the start
+	read    control.Micros
+	first   bool
+	servers map[control.ServerID]*Server
+	zones   map[string]control.ZoneID
+	cells   map[string]control.CellID
+}
+
+// New gives an empty fleet. Offset is the wall clock (microseconds since 1970) at the router's time 0: read once, so
+// that setting the clock later changes nothing.
+func New(offset int64) *Fleet {
+	return &Fleet{offset: offset, first: true, servers: map[control.ServerID]*Server{},
+		zones: map[string]control.ZoneID{}, cells: map[string]control.CellID{}}
+}
+
+// ID gives a server's id: the same in every router, since all share one order of servers.
+func ID(address string) control.ServerID {
+	if a, err := netip.ParseAddrPort(address); err == nil && a.Addr().Is4() {
+		b := a.Addr().As4()
+		return control.ServerID(b[0])<<40 | control.ServerID(b[1])<<32 | control.ServerID(b[2])<<24 |
+			control.ServerID(b[3])<<16 | control.ServerID(a.Port())
+	}
+	return control.ServerID(xxhash.Sum64String(address) | 1<<63) // no IPv4 address has the top bit
+}
+
+// Zone gives a zone's id; the empty name is zone 0.
+func (f *Fleet) Zone(name string) control.ZoneID { return intern(f.zones, name) }
+
+func intern[T ~uint16](ids map[string]T, name string) T {
+	if name == "" {
+		return 0
+	}
+	id, ok := ids[name]
+	if !ok {
+		id = T(len(ids) + 1)
+		ids[name] = id
+	}
+	return id
+}
+
+// Get gives a server by id; nil where no list named it.
+func (f *Fleet) Get(id control.ServerID) *Server { return f.servers[id] }
+
+// Whole takes in a whole list, heard at a time, and gives it in the module's words, by ascending id. A server that it
+// leaves out is gone; it is kept as such, so that its return is known for a restart, until Forget.
+func (f *Fleet) Whole(now control.Micros, list []Entry) []control.Listing {
+	var out []control.Listing
+	listed := make(map[control.ServerID]bool, len(list))
+	for _, e := range list {
+		id := ID(e.Address)
+		listed[id] = true
+		s := f.servers[id]
+		// With no start told, a server that was gone may have restarted meanwhile.
+		fresh := s == nil || s.told != e.Born || s.State == control.Gone && e.Born == 0
+		if s == nil {
+			s = &Server{ID: id, Address: e.Address}
+			f.servers[id] = s
+		}
+		if fresh {
+			s.told, s.born = e.Born, f.born(now, e.Born)
+		}
+		s.State = e.State
+		out = append(out, control.Listing{Server: id, State: e.State, Zone: f.Zone(e.Zone),
+			Cell: intern(f.cells, e.Cell), Power: e.Power, Born: s.born})
+	}
+	for id, s := range f.servers {
+		if !listed[id] {
+			s.State = control.Gone
+		}
+	}
+	f.read, f.first = now, false
+	slices.SortFunc(out, func(a, b control.Listing) int { return cmp.Compare(a.Server, b.Server) })
+	return out
+}
+
+// born brings the start of a server that was not on the last list, or not with this start, into the router's time. It
+// began after that list was read, whatever the clocks say, and no later than now.
+func (f *Fleet) born(now control.Micros, told int64) control.Micros {
+	if told == 0 && f.first {
+		return 0
+	}
+	at := control.Micros(told - f.offset)
+	if !f.first && (told == 0 || at < f.read) {
+		at = f.read
+	}
+	return max(1, min(at, now))
+}
+
+// Forget drops servers that are gone and for which keep says no.
+func (f *Fleet) Forget(keep func(control.ServerID) bool) {
+	for id, s := range f.servers {
+		if s.State == control.Gone && !keep(id) {
+			delete(f.servers, id)
+		}
+	}
+}
--- /dev/null
+++ b/internal/gateway/clients.go
@@ -0,0 +1,220 @@
+package gateway
+
+import (
+	"errors"
+	"fmt"
+	"net"
+	"strconv"
+	"strings"
+	"time"
+
+	"hollymast/control"
+	"hollymast/internal/rest"
+	"hollymast/kserve"
+)
+
+// accept serves a listener until it is closed.
+func (g *Gateway) accept(l net.Listener, admin bool) {
+	for {
+		nc, err := l.Accept()
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil { // out of descriptors, say: connections will end
+			g.log.Warn().Err(err).Msg("a connection could not be accepted")
+			time.Sleep(10 * time.Millisecond)
+			continue
+		}
+		if !admin && g.clients.Load() >= int64(g.told.Connections) {
+			g.metrics.turnedAway.Inc()
+			go turnAway(nc, g.told.Deployment.MaxStayAway)
+			continue
+		}
+		g.clients.Add(1)
+		g.asked.Add(1)
+		go func() {
+			defer g.asked.Done()
+			defer g.clients.Add(-1)
+			g.converse(nc, admin)
+		}()
+	}
+}
+
+// turnAway answers a connection beyond the bound before it has asked for anything: nothing was taken, so trying again
+// is harmless.
+func turnAway(nc net.Conn, stayAway control.Micros) {
+	limits := rest.Limits{WriteTime: time.Second}
+	c := rest.NewConn(nc, &limits, nil)
+	p := pushedBack("too many connections", stayAway)
+	p.Close = true
+	c.Answer(p)
+	c.Close()
+}
+
+// converse answers one connection's requests, each in its turn.
+func (g *Gateway) converse(nc net.Conn, admin bool) {
+	limits := rest.Usual
+	limits.Body, limits.IdleTime = g.told.Body, g.told.ClientIdle
+	limits.HeaderTime, limits.BodyTime = g.told.HeaderTime, g.told.BodyTime
+	reserved := 0
+	c := rest.NewConn(nc, &limits, func(n int) bool {
+		if g.bytes.Add(int64(n)) > int64(g.told.Bytes) {
+			g.bytes.Add(int64(-n))
+			return false
+		}
+		reserved += n
+		return true
+	})
+	free := func() { g.bytes.Add(int64(-reserved)); reserved = 0 }
+	defer func() {
+		free()
+		g.conns.Delete(c)
+		c.Close()
+	}()
+	for {
+		g.conns.Store(c, true)
+		select {
+		case <-g.ended:
+			return
+		default:
+		}
+		if !admin && g.isStopping() {
+			return
+		}
+		q, err := c.Next()
+		g.conns.Store(c, false)
+		if err != nil {
+			var refused *rest.Refused
+			if errors.As(err, &refused) {
+				p := fault(refused.Status, refused.Why)
+				if refused.Status == 503 {
+					p = pushedBack(refused.Why, g.told.Deployment.MaxStayAway)
+				}
+				p.Close = true
+				c.Answer(p)
+			}
+			return
+		}
+		p, left := g.respond(c, q, admin)
+		free()
+		p.Close = p.Close || q.Close || left || g.isStopping()
+		if c.Answer(p) != nil || p.Close {
+			return
+		}
+	}
+}
+
+func (g *Gateway) isStopping() bool { return g.stopNow.Load() }
+
+// respond answers one request; left tells that its client has closed its side.
+func (g *Gateway) respond(c *rest.Conn, q *rest.Request, admin bool) (p *rest.Response, left bool) {
+	if admin && strings.HasPrefix(q.Target, "/metrics") {
+		return g.metrics.page(), false
+	}
+	call, err := kserve.ReadTarget(q.Method, q.Target)
+	switch {
+	case errors.Is(err, kserve.ErrMethod):
+		return fault(405, err.Error()), false
+	case err != nil:
+		return fault(404, "no such call: "+q.Target), false
+	}
+	pattern, known := g.told.Match(call.Model)
+	switch call.Kind {
+	case kserve.ServerLive:
+		return object(200, []byte(`{"live":true}`)), false
+	case kserve.ServerReady:
+		if !g.ready.Load() {
+			return object(503, []byte(`{"ready":false}`)), false
+		}
+		return object(200, []byte(`{"ready":true}`)), false
+	case kserve.ServerMetadata:
+		return object(200, []byte(`{"name":"hollymast","version":"2","extensions":["binary_tensor_data"]}`)), false
+	case kserve.ModelReady, kserve.ModelMetadata:
+		if !known {
+			return fault(404, "no workload is told for "+call.Model), false
+		}
+		if call.Kind == kserve.ModelMetadata {
+			return object(200, fmt.Appendf(nil, `{"name":%q,"platform":"hollymast","inputs":[],"outputs":[]}`, call.Model)), false
+		}
+		return object(200, fmt.Appendf(nil, `{"name":%q,"ready":%t}`, call.Model, g.ready.Load())), false
+	case kserve.RepositoryIndex, kserve.RepositoryLoad, kserve.RepositoryUnload:
+		return fault(405, "copies are loaded as jobs need them, not by clients"), false
+	}
+	if !known {
+		return fault(404, "no workload is told for "+call.Model), false
+	}
+	if admin {
+		return fault(404, "jobs are taken at the other address"), false
+	}
+	return g.infer(c, q, call, pattern)
+}
+
+const tenantHeader = "X-Tenant"
+
+// infer takes a job and waits for its one answer.
+func (g *Gateway) infer(c *rest.Conn, q *rest.Request, call kserve.Call, pattern Pattern) (*rest.Response, bool) {
+	ask, err := kserve.ReadInfer(q.Header, q.Body)
+	if err != nil {
+		return fault(400, err.Error()), false
+	}
+	if !g.ready.Load() {
+		why := errNoList.Error()
+		if g.isStopping() {
+			why = "this router is stopping"
+		}
+		return pushedBack(why, g.told.Deployment.MaxStayAway), false
+	}
+	tenant, ok := g.told.Tenants[q.Header.Get(tenantHeader)]
+	if !ok {
+		tenant = control.TenantID(len(g.told.Deployment.Shares)) // of no told share
+	}
+	j := &job{name: call.Model, call: call, request: q, answer: make(chan *rest.Response, 1)}
+	g.tell(func(now control.Micros) {
+		g.arrived(now, j, pattern, tenant, ask, micros(time.Since(q.Began)))
+	})
+	gone, stop := c.Watch()
+	left := false
+	select {
+	case p := <-j.answer:
+		stop()
+		return p, false
+	case <-gone:
+		left = true
+		g.tell(func(now control.Micros) { g.left(now, j) })
+	case <-g.ended:
+	}
+	stop()
+	select {
+	case p := <-j.answer:
+		return p, left
+	case <-g.ended:
+	}
+	select { // the last turn is over: what has no answer now was never taken
+	case p := <-j.answer:
+		return p, left
+	default:
+		return pushedBack("this router is stopping", g.told.Deployment.MaxStayAway), left
+	}
+}
+
+func object(status int, body []byte) *rest.Response {
+	return &rest.Response{Status: status, Header: rest.Header{"Content-Type": {"application/json"}}, Body: body}
+}
+
+func fault(status int, why string) *rest.Response {
+	return object(status, kserve.Fault{Error: why}.Body())
+}
+
+// pushedBack is the answer that promises that trying again is harmless.
+func pushedBack(why string, stayAway control.Micros) *rest.Response {
+	p := object(503, kserve.Fault{Error: why, Answer: "pushed back", RetryAfter: int64(stayAway)}.Body())
+	if stayAway > 0 {
+		p.Header["Retry-After"] = []string{strconv.FormatInt((int64(stayAway)+999_999)/1_000_000, 10)}
+	}
+	return p
+}
+
+// killed is the answer that promises nothing.
+func killed(why string) *rest.Response {
+	return object(504, kserve.Fault{Error: why, Answer: "killed"}.Body())
+}
--- /dev/null
+++ b/internal/gateway/gateway.go
@@ -0,0 +1,424 @@
+// Package gateway sets client and worker connections round one core. One goroutine owns the core, takes its turns and
+// carries out what it asks; connections have goroutines of their own, which feed it and are fed by it. Nothing that
+// may wait happens within a turn.
+package gateway
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/rs/zerolog"
+
+	"hollymast/control"
+	"hollymast/internal/core"
+	"hollymast/internal/fleet"
+	"hollymast/internal/rest"
+	"hollymast/kserve"
+)
+
+// Gateway is one router.
+type Gateway struct {
+	told    *Told
+	log     zerolog.Logger
+	started time.Time
+	epoch   control.Micros // the router's time at its start
+	run     string         // tells marks that we make from those of other runs
+	via     string         // names this router to servers (RFC 9110, 7.6.3)
+	metrics *metrics
+
+	// The turn's own; touched by no other goroutine.
+	core     *core.Core
+	fleet    *fleet.Fleet
+	jobs     map[control.JobID]*job
+	last     control.JobID
+	pools    map[control.ServerID]*pool
+	timer    *time.Timer
+	due      control.Micros // when the timer fires
+	pruned   control.Micros
+	stopping bool
+	orders   int // without an answer
+
+	// Shared.
+	mu        sync.Mutex
+	heard     []func(now control.Micros)
+	wake      chan struct{}
+	bytes     atomic.Int64 // of bodies in hand
+	clients   atomic.Int64 // connections
+	ready     atomic.Bool  // a list was read, and we take jobs
+	stopNow   atomic.Bool
+	dials     chan struct{}
+	refresh   chan chan struct{}
+	links     sync.WaitGroup
+	asked     sync.WaitGroup // client connections
+	listeners []net.Listener
+	listening sync.WaitGroup
+	conns     sync.Map // *rest.Conn to bool: waiting for a request
+	ended     chan struct{}
+}
+
+// job is a job as its client's connection and its executions see it.
+type job struct {
+	id         control.JobID
+	name       string // of the function
+	call       kserve.Call
+	request    *rest.Request
+	mark       string
+	patience   control.Micros
+	workload   control.WorkloadID
+	answer     chan *rest.Response // holds one
+	answered   bool
+	executions []*sending
+	out        int // executions without an outcome
+}
+
+// New opens the router's listeners. Errors are those of listening.
+func New(told *Told, log zerolog.Logger) (*Gateway, error) {
+	seed := told.Seed
+	if seed == 0 {
+		seed = rand.Uint64()
+	}
+	g := &Gateway{told: told, log: log, started: time.Now(), wake: make(chan struct{}, 1),
+		jobs: map[control.JobID]*job{}, pools: map[control.ServerID]*pool{}, dials: make(chan struct{}, told.Dials),
+		refresh: make(chan chan struct{}), ended: make(chan struct{}), metrics: newMetrics(told)}
+	// Routers take turns at cold servers by their common time (control.coldRoom), so it begins at the wall clock; from
+	// then on it is monotonic, whatever is done to that clock.
+	g.epoch = control.Micros(g.started.UnixMicro())
+	g.run = fmt.Sprintf("%x-%x", told.Deployment.Number, g.epoch)
+	g.via = fmt.Sprintf("1.1 hollymast-%d", told.Deployment.Number)
+	g.fleet = fleet.New(0)
+	deployment := told.Deployment
+	deployment.Zone = g.fleet.Zone(told.Zone)
+	g.core = core.New(control.Start(g.epoch, seed, deployment), g)
+	for _, address := range []string{told.Listen, told.Admin} {
+		if address == "" {
+			continue
+		}
+		l, err := net.Listen("tcp", address)
+		if err != nil {
+			g.closeListeners()
+			return nil, err
+		}
+		g.listeners = append(g.listeners, l)
+	}
+	return g, nil
+}
+
+// Address is where clients are listened to; useful where port 0 was told.
+func (g *Gateway) Address() string { return g.listeners[0].Addr().String() }
+
+// AdminAddress is where health and metrics are told; empty without.
+func (g *Gateway) AdminAddress() string {
+	if len(g.listeners) < 2 {
+		return ""
+	}
+	return g.listeners[1].Addr().String()
+}
+
+func (g *Gateway) now() control.Micros { return g.epoch + micros(time.Since(g.started)) }
+
+// tell has f called in the next turn.
+func (g *Gateway) tell(f func(now control.Micros)) {
+	g.mu.Lock()
+	g.heard = append(g.heard, f)
+	first := len(g.heard) == 1
+	g.mu.Unlock()
+	if first {
+		select {
+		case g.wake <- struct{}{}:
+		default:
+		}
+	}
+}
+
+// Serve routes until the context ends; then it stops taking jobs, gives each one in hand its answer within its own
+// limits, and returns. A nil error means that none was left.
+func (g *Gateway) Serve(ctx context.Context) error {
+	serving, stop := context.WithCancel(context.Background())
+	defer stop()
+	for i, l := range g.listeners {
+		g.listening.Add(1)
+		go func() {
+			defer g.listening.Done()
+			g.accept(l, i > 0)
+		}()
+	}
+	g.listening.Add(1)
+	go func() {
+		defer g.listening.Done()
+		g.follow(serving)
+	}()
+	g.timer = time.NewTimer(time.Hour)
+	defer g.timer.Stop()
+	done := ctx.Done()
+	batch := make([]func(control.Micros), 0, 64)
+	g.turn(g.now(), nil)
+	for {
+		select {
+		case <-g.wake:
+		case <-g.timer.C:
+		case <-done:
+			done = nil
+			g.beginStop()
+		}
+		late := g.now() - g.due
+		if late > micros(g.told.Grace)/4 {
+			g.relook(late)
+		}
+		g.mu.Lock()
+		batch, g.heard = g.heard, batch[:0]
+		g.mu.Unlock()
+		g.turn(g.now(), batch)
+		clear(batch)
+		if g.stopping && len(g.jobs) == 0 && g.orders == 0 {
+			break
+		}
+	}
+	g.log.Info().Msg("no job is left in hand")
+	return g.finish(stop)
+}
+
+// relook waits for a look at the list after a time in which this process stood still, so that no choice is made from
+// a list that is older than the grace. Bounded: a list that can't be had must not stop the router.
+func (g *Gateway) relook(late control.Micros) {
+	g.log.Warn().Int64("late_us", int64(late)).Msg("the router stood still")
+	const most = 50 * time.Millisecond // a look takes well under one
+	timer := time.NewTimer(most)
+	defer timer.Stop()
+	looked := make(chan struct{})
+	select {
+	case g.refresh <- looked:
+	case <-timer.C:
+		return
+	}
+	select {
+	case <-looked:
+	case <-timer.C:
+	}
+}
+
+func (g *Gateway) turn(now control.Micros, heard []func(control.Micros)) {
+	begun := time.Now()
+	for _, f := range heard {
+		f(now)
+	}
+	g.core.Turn(now)
+	g.prune(now)
+	g.metrics.turn.Observe(time.Since(begun).Seconds())
+	g.metrics.inHand.Set(float64(len(g.jobs)))
+	g.metrics.held.Set(float64(g.core.Held()))
+}
+
+// Refresh has the list read again at once.
+func (g *Gateway) Refresh() {
+	select {
+	case g.refresh <- make(chan struct{}):
+	case <-g.ended:
+	}
+}
+
+func (g *Gateway) beginStop() {
+	g.stopping = true
+	g.ready.Store(false)
+	g.stopNow.Store(true)
+	g.log.Info().Int("jobs", len(g.jobs)).Msg("stopping: no new jobs are taken")
+	g.listeners[0].Close()
+	g.conns.Range(func(c, waiting any) bool {
+		if waiting.(bool) {
+			c.(*rest.Conn).Close()
+		}
+		return true
+	})
+}
+
+func (g *Gateway) finish(stop context.CancelFunc) error {
+	close(g.ended)
+	stop()
+	g.closeListeners()
+	g.closePools()
+	settled := make(chan struct{})
+	go func() {
+		g.listening.Wait()
+		g.asked.Wait()
+		g.links.Wait()
+		close(settled)
+	}()
+	const most = 2 * time.Second // answers are written; only slow readers are left
+	timer := time.NewTimer(most)
+	defer timer.Stop()
+	select {
+	case <-settled:
+		return nil
+	case <-timer.C:
+	}
+	n := 0
+	g.conns.Range(func(c, _ any) bool {
+		n++
+		c.(*rest.Conn).Close()
+		return true
+	})
+	<-settled
+	if n > 0 {
+		g.log.Warn().Int("connections", n).Msg("closed on clients that did not read or go")
+	}
+	return nil
+}
+
+func (g *Gateway) closeListeners() {
+	for _, l := range g.listeners {
+		l.Close()
+	}
+}
+
+// functionID is the same in every router, since all share one order of servers for a function.
+func functionID(name string) control.FunctionID { return control.FunctionID(xxhash.Sum64String(name)) }
+
+// arrived takes a job in hand, or pushes it back at once beyond the bounds.
+func (g *Gateway) arrived(now control.Micros, j *job, p Pattern, tenant control.TenantID, ask kserve.Ask, age control.Micros) {
+	if g.stopping || len(g.jobs) >= g.told.Jobs {
+		why := "too many jobs are in hand"
+		if g.stopping {
+			why = "this router is stopping"
+		}
+		j.answered = true
+		j.answer <- pushedBack(why, g.told.Deployment.MaxStayAway)
+		g.metrics.answered("pushed back")
+		return
+	}
+	w := g.told.Deployment.Workloads[p.Workload]
+	limit := w.TimeLimit
+	if ask.Timeout > 0 {
+		limit = min(limit, control.Micros(ask.Timeout))
+	}
+	g.last++
+	j.id, j.workload = g.last, p.Workload
+	begun := now - age
+	j.patience = begun + limit - micros(g.told.AnswerMargin)
+	if j.mark = ask.Mark; j.mark == "" {
+		j.mark = g.run + "-" + strconv.FormatUint(uint64(j.id), 36)
+	}
+	g.jobs[j.id] = j
+	err := g.core.Arrived(now, control.Job{ID: j.id, Workload: p.Workload, Tenant: tenant, Function: functionID(j.name),
+		Lanes: p.Lanes, Work: p.Work, LoadTime: p.LoadTime, Arrived: begun, Patience: max(now, j.patience), Repeat: ask.Repeat})
+	if err != nil {
+		g.log.Error().Err(err).Msg("job not taken")
+	}
+	g.log.Debug().Uint64("job", uint64(j.id)).Str("request", ask.ID).Str("function", j.name).Msg("taken")
+}
+
+// end gives a job its one final answer.
+func (g *Gateway) end(j *job, word string, p *rest.Response) {
+	if j.answered {
+		return
+	}
+	j.answered = true
+	j.answer <- p
+	g.metrics.answered(word)
+	g.log.Debug().Uint64("job", uint64(j.id)).Str("answer", word).Int("executions", len(j.executions)).Msg("answered")
+	g.release(j)
+}
+
+// release forgets a job that has its answer and no execution out.
+func (g *Gateway) release(j *job) {
+	if j.answered && j.out == 0 {
+		delete(g.jobs, j.id)
+	}
+}
+
+// left takes in that a job's client is gone. Its answer is still due: a client that closed only its own side reads it.
+func (g *Gateway) left(now control.Micros, j *job) {
+	if j.answered {
+		return
+	}
+	g.core.Left(now, j.id)
+	g.end(j, "left", killed("the client closed its side of the connection"))
+}
+
+// Send starts an execution.
+func (g *Gateway) Send(cj *control.Job, no control.ExecutionID, to control.ServerID, allow control.Micros) {
+	j := g.jobs[cj.ID]
+	s := g.sending(to, allow)
+	s.job, s.no, s.request = j, no, g.execution(j, no, allow)
+	if no > 0 && g.told.Deployment.Workloads[j.workload].Effect == control.Fingerprinted {
+		s.fresh = min(s.fresh, repeatFresh)
+	}
+	j.executions = append(j.executions, s)
+	j.out++
+	g.dispatch(s)
+}
+
+// PushBack and Kill end a job.
+func (g *Gateway) PushBack(id control.JobID, stayAway control.Micros) {
+	g.end(g.jobs[id], "pushed back", pushedBack("not now: it could not be finished in time", stayAway))
+}
+
+// Kill ends a job of which nothing may be promised.
+func (g *Gateway) Kill(id control.JobID) {
+	g.end(g.jobs[id], "killed", killed("the job may have run; its end is not known"))
+}
+
+// CallOff stops waiting for an execution.
+func (g *Gateway) CallOff(id control.JobID, no control.ExecutionID) {
+	if j := g.jobs[id]; j != nil && int(no) < len(j.executions) {
+		j.executions[no].callOff()
+	}
+}
+
+// Order orders copies of a job's function.
+func (g *Gateway) Order(cj *control.Job, o control.Order) {
+	name := g.jobs[cj.ID].name
+	s := g.sending(o.Server, micros(g.told.OrderTime))
+	s.order = o
+	s.request = &rest.Request{Method: "POST", Target: kserve.Call{Kind: kserve.RepositoryLoad, Model: name}.Target(),
+		Header: rest.Header{"Content-Type": {"application/json"}}, Body: kserve.LoadBody(o.Copies)}
+	g.orders++
+	g.metrics.orders.Inc()
+	g.dispatch(s)
+}
+
+// Subscribe has the list looked at; it is followed in any case.
+func (g *Gateway) Subscribe() {}
+
+// Note writes a line in the log.
+func (g *Gateway) Note(text string) { g.log.Info().Msg(text) }
+
+// Alarm sets the one timer.
+func (g *Gateway) Alarm(at control.Micros) {
+	g.due = at
+	g.timer.Reset(time.Duration(max(0, at-g.now())) * time.Microsecond)
+}
+
+// executed takes in the end of an execution.
+func (g *Gateway) executed(now control.Micros, s *sending, o control.Outcome, p *rest.Response) {
+	j := s.job
+	j.out--
+	g.metrics.executed(o.Result)
+	if o.Result == control.Finished && !j.answered {
+		o.JobOver = true
+		g.core.Answered(now, j.id, o)
+		p.Header = forwarded(p.Header)
+		p.Close, p.Chunk = false, 0
+		g.end(j, "finished", p)
+		return
+	}
+	if j.answered && o.Result == control.Finished {
+		g.metrics.late.Inc() // its job has its answer: the late one is dropped
+	}
+	g.core.Answered(now, j.id, o)
+	g.release(j)
+}
+
+// ordered takes in the answer to an order.
+func (g *Gateway) ordered(now control.Micros, s *sending, result control.Result, took control.Micros, copies int) {
+	g.orders--
+	g.core.Loaded(now, s.order.Server, s.order.Function, result, took, copies)
+}
+
+var errNoList = errors.New("no list of servers could be read yet")
--- /dev/null
+++ b/internal/gateway/metrics.go
@@ -0,0 +1,74 @@
+package gateway
+
+import (
+	"bytes"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+	"github.com/prometheus/common/expfmt"
+
+	"hollymast/control"
+	"hollymast/internal/rest"
+)
+
+type metrics struct {
+	registry                 *prometheus.Registry
+	answers, executions      *prometheus.CounterVec
+	inHand, held, servers    prometheus.Gauge
+	orders, late, turnedAway prometheus.Counter
+	turn                     prometheus.Histogram
+	byResult                 [control.Missing + 1]prometheus.Counter
+}
+
+var resultNames = [...]string{"finished", "errored", "full", "timed out", "no connection", "reset", "cancelled",
+	"never sent", "missing"}
+
+func newMetrics(told *Told) *metrics {
+	count := func(name, help string) prometheus.Counter {
+		return prometheus.NewCounter(prometheus.CounterOpts{Name: "hollymast_" + name, Help: help})
+	}
+	gauge := func(name, help string) prometheus.Gauge {
+		return prometheus.NewGauge(prometheus.GaugeOpts{Name: "hollymast_" + name, Help: help})
+	}
+	m := &metrics{registry: prometheus.NewRegistry(),
+		answers: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "hollymast_jobs_total",
+			Help: "Jobs by their final answer."}, []string{"answer"}),
+		executions: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "hollymast_executions_total",
+			Help: "Executions by how they ended."}, []string{"result"}),
+		inHand:     gauge("jobs_in_hand", "Jobs in hand, those included whose executions are still out."),
+		held:       gauge("jobs_held", "Jobs that wait here for a copy."),
+		servers:    gauge("servers_ready", "Servers that the list calls ready."),
+		orders:     count("orders_total", "Orders to load."),
+		late:       count("late_answers_total", "Answers dropped because their job had its final answer."),
+		turnedAway: count("connections_turned_away_total", "Client connections beyond the bound."),
+		turn: prometheus.NewHistogram(prometheus.HistogramOpts{Name: "hollymast_turn_seconds", Help: "Time of a turn.",
+			Buckets: prometheus.ExponentialBuckets(10e-6, 2, 14)}), // 10 us to 80 ms
+	}
+	m.registry.MustRegister(m.answers, m.executions, m.inHand, m.held, m.servers, m.orders, m.late, m.turnedAway, m.turn,
+		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	for r := range m.byResult {
+		m.byResult[r] = m.executions.WithLabelValues(resultNames[r])
+	}
+	return m
+}
+
+func (m *metrics) answered(word string) { m.answers.WithLabelValues(word).Inc() }
+
+func (m *metrics) executed(r control.Result) { m.byResult[r].Inc() }
+
+// page is the metrics in Prometheus' text form.
+func (m *metrics) page() *rest.Response {
+	families, err := m.registry.Gather()
+	if err != nil {
+		return fault(500, err.Error())
+	}
+	var b bytes.Buffer
+	format := expfmt.NewFormat(expfmt.TypeTextPlain)
+	enc := expfmt.NewEncoder(&b, format)
+	for _, f := range families {
+		if err := enc.Encode(f); err != nil {
+			return fault(500, err.Error())
+		}
+	}
+	return &rest.Response{Status: 200, Header: rest.Header{"Content-Type": {string(format)}}, Body: b.Bytes()}
+}
--- /dev/null
+++ b/internal/gateway/told.go
@@ -0,0 +1,235 @@
+package gateway
+
+import (
+	"net"
+	"path"
+	"reflect"
+	"strings"
+	"time"
+
+	"hollymast/control"
+	"hollymast/internal/fleet"
+	"hollymast/internal/inifile"
+)
+
+// Told is all that a router is told at its start.
+type Told struct {
+	Listen     string
+	Admin      string // address of health and metrics; empty: none
+	List       string // file that lists the servers
+	Zone       string
+	Seed       uint64 // 0: drawn at the start
+	LogLevel   string
+	Deployment control.Deployment
+	Workloads  []string // names, in the order of Deployment.Workloads
+	Tenants    map[string]control.TenantID
+	Functions  []Pattern // the first that matches a name counts
+
+	Grace        time.Duration // within which nothing new may still go to a server told to drain
+	AnswerMargin time.Duration // an answer's way to the client: kept free at the end of its time
+	OrderTime    time.Duration // for which the answer to an order to load is awaited
+
+	Connections int // of clients
+	Jobs        int // in hand
+	Bytes       int // of bodies in hand
+	Body        int // of one body
+	PerServer   int // connections to one server
+	Dials       int // under way at once
+	ServerIdle  time.Duration
+	ClientIdle  time.Duration
+	ListEvery   time.Duration
+	DialTime    time.Duration
+	HeaderTime  time.Duration
+	BodyTime    time.Duration
+}
+
+// Pattern says what is known beforehand of the functions whose names match it.
+type Pattern struct {
+	Glob     string // as in path.Match
+	Workload control.WorkloadID
+	Lanes    int
+	Work     control.Micros
+	LoadTime control.Micros
+}
+
+// Match finds what is told of a function; ok is false where no pattern matches.
+func (t *Told) Match(name string) (Pattern, bool) {
+	for _, p := range t.Functions {
+		if hit, _ := path.Match(p.Glob, name); hit {
+			return p, true
+		}
+	}
+	return Pattern{}, false
+}
+
+func micros(d time.Duration) control.Micros { return control.Micros(d.Microseconds()) }
+
+// ReadTold reads a router's settings. A *inifile.Faults names every fault with file, line and key.
+func ReadTold(f *inifile.File) (*Told, error) {
+	const year = 365 * 24 * time.Hour
+	t := &Told{Tenants: map[string]control.TenantID{}}
+	d := &t.Deployment
+
+	r := f.Section("router")
+	t.Listen = address(r, "listen", "127.0.0.1:8080")
+	t.Admin = r.Text("admin", "")
+	if t.Admin != "" {
+		t.Admin = address(r, "admin", "")
+	}
+	t.List = r.Text("list", "")
+	if t.List == "" {
+		r.Fault("list", "no file that lists the servers is named")
+	}
+	t.Zone = r.Text("zone", "")
+	d.Routers = r.Int("routers", 1, 1, 1<<16)
+	d.Number = r.Int("number", 0, 0, 1<<16-1)
+	if d.Number >= d.Routers {
+		r.Fault("number", "%d, but routers are numbered from 0 and there are %d", d.Number, d.Routers)
+	}
+	t.Seed = uint64(r.Int("seed", 0, 0, 1<<62))
+	levels := []string{"debug", "info", "warn", "error"}
+	t.LogLevel = levels[r.OneOf("log", "info", levels...)]
+
+	s := f.Section("servers")
+	d.MaxExecutions = s.Int("executions", 3, 1, 16)
+	d.Tick = micros(s.Span("tick", 4*time.Millisecond, time.Microsecond, time.Second))
+	d.KeepAlive = micros(s.Span("keep_alive", time.Minute, 0, year))
+	d.LoadsOnMiss = s.Flag("loads_on_miss", true)
+	d.Orders = s.Flag("orders", true)
+	if !d.LoadsOnMiss && !d.Orders {
+		s.Fault("orders", "neither jobs nor orders load what is missing: nothing would ever be loaded")
+	}
+	d.ColdFrom = s.Float("cold_from", 0.25, 0, 1)
+	d.Cold = micros(s.Span("cold", 10*time.Second, 0, year))
+	d.Fall = micros(s.Span("fall", time.Second, time.Millisecond, year))
+	d.FallMultiple = s.Float("fall_multiple", 2, 0.01, 1000)
+	d.LoadWindow = micros(s.Span("load_window", 0, 0, year))
+	d.LoadFree = s.Float("load_free", 0, 0, 1e6)
+	d.LoadShare = s.Float("load_share", 0, 0, 100)
+	if d.LoadWindow == 0 && (s.Has("load_free") || s.Has("load_share")) {
+		s.Fault("load_window", "load_free and load_share mean nothing without it")
+	}
+	t.Grace = s.Span("grace", 500*time.Millisecond, 10*time.Millisecond, time.Hour)
+	t.OrderTime = s.Span("order_time", 30*time.Second, time.Millisecond, time.Hour)
+	d.Cancels = true // closing its connection calls an execution off
+
+	c := f.Section("clients")
+	d.MarksRepeats = c.Flag("mark_repeats", true)
+	d.MaxStayAway = micros(c.Span("stay_away", 2*time.Second, 0, time.Hour))
+	t.AnswerMargin = c.Span("answer_margin", 20*time.Millisecond, 0, time.Minute)
+
+	b := f.Section("bounds")
+	t.Connections = b.Int("connections", 20_000, 1, 1<<20)
+	t.Jobs = b.Int("jobs", 10_000, 1, 1<<20)
+	t.Bytes = b.Int("bytes", 1<<30, 1<<10, 1<<40)
+	t.Body = b.Int("body", 4<<20, 1, 1<<30)
+	t.PerServer = b.Int("per_server", 256, 1, 1<<16)
+	t.Dials = b.Int("dials", 256, 1, 1<<16)
+	t.DialTime = b.Span("dial_time", time.Second, time.Millisecond, time.Minute)
+	t.ServerIdle = b.Span("server_idle", 20*time.Second, time.Millisecond, time.Hour)
+	t.ClientIdle = b.Span("client_idle", 2*time.Minute, time.Millisecond, 24*time.Hour)
+	t.HeaderTime = b.Span("header_time", 5*time.Second, time.Millisecond, time.Hour)
+	t.BodyTime = b.Span("body_time", 10*time.Second, time.Millisecond, time.Hour)
+	t.ListEvery = b.Span("list_every", 50*time.Millisecond, time.Millisecond, time.Hour)
+	if t.ListEvery > t.Grace/2 {
+		b.Fault("list_every", "%s leaves too little of the grace of %s", t.ListEvery, t.Grace)
+	}
+
+	t.workloads(f)
+	t.patterns(f)
+	for _, s := range f.Sections("tenant ") {
+		t.Tenants[strings.TrimPrefix(s.Name, "tenant ")] = control.TenantID(len(d.Shares))
+		d.Shares = append(d.Shares, s.Float("share", 1, 0, 1e9))
+	}
+	return t, f.Check()
+}
+
+func (t *Told) workloads(f *inifile.File) {
+	const day = 24 * time.Hour
+	for _, s := range f.Sections("workload ") {
+		t.Workloads = append(t.Workloads, strings.TrimPrefix(s.Name, "workload "))
+		w := control.Workload{
+			StartTarget: micros(s.Span("start_target", time.Second, time.Millisecond, day)),
+			TimeLimit:   micros(s.Span("time_limit", 10*time.Second, time.Millisecond, day)),
+			Stretch:     s.Float("stretch", 0, 0, 1000),
+			Effect:      control.Effect(s.OneOf("effect", "run-once", "restartable", "fingerprinted", "run-once")),
+			Scope:       control.Scope(s.OneOf("group", "fleet", "fleet", "zone", "cell")),
+			Window:      micros(s.Span("window", 0, 0, day)),
+		}
+		if w.Effect == control.Fingerprinted && w.Window == 0 {
+			s.Fault("window", "a fingerprinted workload needs the time for which its repeats are known")
+		}
+		if w.TimeLimit < w.StartTarget {
+			s.Fault("time_limit", "shorter than the start target")
+		}
+		t.Deployment.Workloads = append(t.Deployment.Workloads, w)
+	}
+	if len(t.Workloads) == 0 {
+		f.Section("workload").Fault("", "no section [workload NAME]")
+	}
+}
+
+func (t *Told) patterns(f *inifile.File) {
+	for _, s := range f.Sections("function ") {
+		p := Pattern{Glob: strings.TrimPrefix(s.Name, "function ")}
+		if _, err := path.Match(p.Glob, ""); err != nil {
+			s.Fault("", "malformed pattern")
+		}
+		if len(t.Workloads) > 0 {
+			p.Workload = control.WorkloadID(s.OneOf("workload", t.Workloads[0], t.Workloads...))
+		} else {
+			s.Has("workload")
+		}
+		p.Lanes = s.Int("lanes", 1, 1, 1<<12)
+		p.Work = micros(s.Span("work", 0, 0, time.Hour))
+		p.LoadTime = micros(s.Span("load_time", 0, 0, time.Hour))
+		t.Functions = append(t.Functions, p)
+	}
+	if len(t.Functions) == 0 {
+		f.Section("function").Fault("", "no section [function PATTERN]: no name would be known")
+	}
+}
+
+func address(s *inifile.Section, key, fallback string) string {
+	v := s.Text(key, fallback)
+	if host, port, err := net.SplitHostPort(v); err != nil || host == "" || port == "" {
+		s.Fault(key, "%q is no address with a port", v)
+	}
+	return v
+}
+
+// ReadList reads a list of servers: a section for each, with its address, state, zone, cell, power and start.
+func ReadList(f *inifile.File) ([]fleet.Entry, error) {
+	var list []fleet.Entry
+	first := map[string]string{}
+	for _, s := range f.Sections("") {
+		e := fleet.Entry{Address: address(s, "address", ""), Zone: s.Text("zone", ""), Cell: s.Text("cell", ""),
+			Power: s.Float("power", 1, 0.001, 1e6),
+			State: control.ServerState(1 + s.OneOf("state", "ready", "draining", "ready"))}
+		if born := s.Text("born", ""); born != "" {
+			at, err := time.Parse(time.RFC3339Nano, born)
+			if err != nil || at.UnixMicro() <= 0 {
+				s.Fault("born", "%q is no time as in 2026-07-01T06:30:00Z", born)
+			}
+			e.Born = at.UnixMicro()
+		}
+		if other, twice := first[e.Address]; twice {
+			s.Fault("address", "also that of [%s]", other)
+		}
+		first[e.Address] = s.Name
+		list = append(list, e)
+	}
+	return list, f.Check()
+}
+
+// NeedRestart names the parts of the settings that differ and can't change in service: all but the log level.
+func NeedRestart(old, fresh *Told) []string {
+	var names []string
+	a, b := reflect.ValueOf(*old), reflect.ValueOf(*fresh)
+	for i := range a.NumField() {
+		if name := a.Type().Field(i).Name; name != "LogLevel" && !reflect.DeepEqual(a.Field(i).Interface(), b.Field(i).Interface()) {
+			names = append(names, name)
+		}
+	}
+	return names
+}
--- /dev/null
+++ b/internal/gateway/workers.go
@@ -0,0 +1,339 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"hollymast/control"
+	"hollymast/internal/rest"
+	"hollymast/kserve"
+)
+
+// repeatFresh is how old the choice of a fingerprinted job's further execution may be when it is written: half of what
+// the module allows for the way there (control.mayRepeat), so that the group still remembers the earlier one.
+const repeatFresh = 25 * time.Millisecond
+
+// pool is the connections to one server. The turn owns it.
+type pool struct {
+	id      control.ServerID
+	address string
+	idle    []*link // the last used at the end
+	count   int     // links, idle or not
+	out     map[*sending]struct{}
+}
+
+// link is one connection to a server; a goroutine of its own owns it.
+type link struct {
+	g       *Gateway
+	address string
+	work    chan *sending // holds one
+	since   control.Micros
+	client  atomic.Pointer[rest.Client]
+}
+
+// sending is one execution or order on its way.
+type sending struct {
+	job      *job // nil of an order
+	no       control.ExecutionID
+	order    control.Order
+	to       control.ServerID
+	request  *rest.Request
+	chosen   time.Time
+	fresh    time.Duration // a choice older than this is not written
+	deadline time.Time
+	ctx      context.Context
+	cancel   context.CancelFunc
+	stage    atomic.Int32
+	link     *link
+	off      bool
+}
+
+// The stages of a sending: only one of the link's goroutine and the turn takes it out of the first.
+const (
+	chosen int32 = iota
+	writing
+	withdrawn
+)
+
+func (g *Gateway) sending(to control.ServerID, allow control.Micros) *sending {
+	// Chosen from a list that is at most ListEvery old, so half of the grace is left for the way there.
+	s := &sending{to: to, chosen: time.Now(), fresh: g.told.Grace / 2}
+	s.deadline = s.chosen.Add(time.Duration(allow) * time.Microsecond)
+	s.ctx, s.cancel = context.WithCancel(context.Background())
+	return s
+}
+
+// withdraw takes back what is not yet being written; what is goes on.
+func (s *sending) withdraw() bool {
+	if !s.stage.CompareAndSwap(chosen, withdrawn) {
+		return false
+	}
+	s.cancel()
+	return true
+}
+
+// callOff also breaks off what was written.
+func (s *sending) callOff() {
+	if s.off {
+		return
+	}
+	s.off = true
+	if !s.withdraw() && s.link != nil {
+		if c := s.link.client.Load(); c != nil {
+			c.Abort()
+		}
+	}
+}
+
+// dispatch hands a sending to an idle connection, or opens one.
+func (g *Gateway) dispatch(s *sending) {
+	p := g.pools[s.to]
+	if p == nil {
+		p = &pool{id: s.to, address: g.fleet.Get(s.to).Address, out: map[*sending]struct{}{}}
+		g.pools[s.to] = p
+	}
+	p.out[s] = struct{}{}
+	s.request.Header["Host"] = []string{p.address}
+	s.request.Header["Via"] = append(s.request.Header["Via"][:len(s.request.Header["Via"]):len(s.request.Header["Via"])], g.via)
+	if n := len(p.idle); n > 0 {
+		s.link = p.idle[n-1]
+		p.idle = p.idle[:n-1]
+	} else if p.count < g.told.PerServer {
+		s.link = &link{g: g, address: p.address, work: make(chan *sending, 1)}
+		p.count++
+		g.links.Add(1)
+		go s.link.serve()
+	} else { // never sent; told in the next turn, since this one is still asking
+		g.tell(func(now control.Micros) { g.over(now, s, exchange{result: control.NeverSent}, false) })
+		return
+	}
+	s.link.work <- s
+}
+
+// exchange is what came of a sending.
+type exchange struct {
+	result   control.Result
+	response *rest.Response
+	took     time.Duration
+}
+
+func (l *link) serve() {
+	defer l.g.links.Done()
+	for s := range l.work {
+		e := l.carry(s)
+		s.cancel()
+		open := l.client.Load() != nil
+		l.g.tell(func(now control.Micros) { l.g.over(now, s, e, open) })
+		if !open {
+			return
+		}
+	}
+	if c := l.client.Load(); c != nil {
+		c.Close()
+	}
+}
+
+// carry does one exchange. The connection is kept only where it may be used again.
+func (l *link) carry(s *sending) (e exchange) {
+	begun := time.Now()
+	defer func() { e.took = time.Since(begun) }()
+	c := l.client.Load()
+	if c != nil && c.Stale() { // closed while it was idle: nothing of this job was on it
+		c.Close()
+		c = nil
+		l.client.Store(nil)
+	}
+	if c == nil {
+		var err error
+		if c, err = l.dial(s); err != nil {
+			if s.stage.Load() == withdrawn || errors.Is(err, errWithdrawn) {
+				return exchange{result: control.NeverSent}
+			}
+			return exchange{result: control.NoConnection}
+		}
+		l.client.Store(c)
+	}
+	if time.Since(s.chosen) > s.fresh || !s.stage.CompareAndSwap(chosen, writing) {
+		return exchange{result: control.NeverSent}
+	}
+	p, progress, err := c.Do(s.request, s.deadline)
+	if err == nil && !p.Close {
+		return exchange{result: resultOf(s, p), response: p}
+	}
+	c.Close()
+	l.client.Store(nil)
+	switch {
+	case err == nil:
+		return exchange{result: resultOf(s, p), response: p}
+	case progress == rest.None:
+		return exchange{result: control.NeverSent}
+	case errors.Is(err, rest.ErrAborted):
+		return exchange{result: control.Cancelled}
+	case errors.Is(err, rest.ErrTimeout):
+		return exchange{result: control.TimedOut}
+	}
+	return exchange{result: control.Reset}
+}
+
+var errWithdrawn = errors.New("withdrawn")
+
+func (l *link) dial(s *sending) (*rest.Client, error) {
+	ctx, cancel := context.WithTimeout(s.ctx, min(l.g.told.DialTime, time.Until(s.deadline)))
+	defer cancel()
+	select {
+	case l.g.dials <- struct{}{}:
+		defer func() { <-l.g.dials }()
+	case <-ctx.Done():
+		return nil, errWithdrawn // waited for its turn to dial: nothing is known of the server
+	}
+	return rest.Dial(ctx, l.address, &workerLimits)
+}
+
+// workerLimits bound answers: servers are ours, so their headers may be larger and their bodies any size that fits.
+var workerLimits = rest.Limits{Line: 16 << 10, Headers: 128, Block: 64 << 10, Body: 64 << 20}
+
+// over takes in the end of a sending, and its link back if it can be used again.
+func (g *Gateway) over(now control.Micros, s *sending, e exchange, open bool) {
+	p := g.pools[s.to]
+	delete(p.out, s)
+	s.off = true // from here on its link may carry another: nothing may break that off
+	switch {
+	case open && g.listedThere(s.to):
+		s.link.since = now
+		p.idle = append(p.idle, s.link)
+	case open:
+		close(s.link.work)
+		p.count--
+	case s.link != nil:
+		p.count--
+	}
+	if s.job == nil {
+		copies := -1
+		if e.response != nil {
+			copies = kserve.Copies(e.response.Body)
+		}
+		if e.result == control.Finished && copies < 0 {
+			copies = s.order.Copies // an answer that tells no number has done what was asked
+		}
+		g.ordered(now, s, e.result, micros(e.took), copies)
+		return
+	}
+	o := control.Outcome{Execution: s.no, Server: s.to, Result: e.result, Took: micros(e.took)}
+	if e.response != nil {
+		o.Found = foundOf(e.response)
+		if l, ok := kserve.ReadLoad(e.response.Header); ok {
+			o.Report = &control.Report{Util: l.Util, Loads: l.Loads, Pinned: l.Pinned}
+		}
+	}
+	g.executed(now, s, o, e.response)
+}
+
+func (g *Gateway) listedThere(id control.ServerID) bool {
+	s := g.fleet.Get(id)
+	return s != nil && s.State != control.Gone
+}
+
+// resultOf names what a server's answer means. 429 and 503 promise that the job did not run, 404 that its function
+// was not there; other refusals of what the client asked are the function's own answer and pass to the client.
+func resultOf(s *sending, p *rest.Response) control.Result {
+	switch {
+	case p.Status == 429 || p.Status == 503:
+		return control.Full
+	case p.Status == 404:
+		return control.Missing
+	case p.Status >= 500 || p.Status == 408 || s.job == nil && p.Status >= 300:
+		return control.Errored
+	}
+	return control.Finished
+}
+
+func foundOf(p *rest.Response) control.Found {
+	switch kserve.Found(p.Header, p.Body) {
+	case "warm":
+		return control.FoundWarm
+	case "began":
+		return control.BeganLoad
+	case "joined":
+		return control.JoinedLoad
+	case "load_failed":
+		return control.LoadFailed
+	}
+	return control.Untold
+}
+
+// execution is the request of one execution: the client's own, with what is ours to say.
+func (g *Gateway) execution(j *job, no control.ExecutionID, allow control.Micros) *rest.Request {
+	h := forwarded(j.request.Header)
+	h[kserve.TimeoutHeader] = []string{strconv.FormatInt(max(1, int64(allow)/1000), 10)}
+	h[kserve.AttemptHeader] = []string{strconv.Itoa(int(no) + 1)}
+	h[kserve.RepeatMark] = []string{j.mark}
+	return &rest.Request{Method: "POST", Target: j.call.Target(), Header: h, Body: j.request.Body}
+}
+
+// forwarded copies the fields that are meant for the other end, without those for one connection (RFC 9110, 7.6.1).
+func forwarded(h rest.Header) rest.Header {
+	to := make(rest.Header, len(h)+3)
+	for k, v := range h {
+		switch k {
+		case "Connection", "Keep-Alive", "Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade",
+			"Content-Length", "Expect":
+			continue
+		}
+		to[k] = v
+	}
+	for _, named := range h["Connection"] {
+		delete(to, named)
+	}
+	return to
+}
+
+// withdrawFrom takes back all that is not yet being written to a server that takes nothing new.
+func (g *Gateway) withdrawFrom(id control.ServerID) {
+	p := g.pools[id]
+	if p == nil {
+		return
+	}
+	for s := range p.out { // their outcomes come in the order of their own goroutines anyway
+		s.withdraw()
+	}
+	g.closeIdle(p, func(*link) bool { return true })
+}
+
+func (g *Gateway) closeIdle(p *pool, which func(*link) bool) {
+	kept := p.idle[:0]
+	for _, l := range p.idle {
+		if which(l) {
+			close(l.work)
+			p.count--
+		} else {
+			kept = append(kept, l)
+		}
+	}
+	clear(p.idle[len(kept):])
+	p.idle = kept
+}
+
+// prune closes connections that were idle for long, and forgets pools and servers that are gone.
+func (g *Gateway) prune(now control.Micros) {
+	const every = 1_000_000 // idle times are many seconds
+	if now < g.pruned+every {
+		return
+	}
+	g.pruned = now
+	for id, p := range g.pools {
+		g.closeIdle(p, func(l *link) bool { return now-l.since > micros(g.told.ServerIdle) })
+		if p.count == 0 && len(p.out) == 0 && !g.listedThere(id) {
+			delete(g.pools, id)
+		}
+	}
+	g.fleet.Forget(func(id control.ServerID) bool { return g.pools[id] != nil })
+}
+
+func (g *Gateway) closePools() {
+	for _, p := range g.pools {
+		g.closeIdle(p, func(*link) bool { return true })
+	}
+}
--- /dev/null
+++ b/internal/lab/clients.go
@@ -0,0 +1,186 @@
+package lab
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/tidwall/gjson"
+
+	"hollymast/internal/audit"
+	"hollymast/internal/rest"
+	"hollymast/kserve"
+)
+
+// freeAddress finds a port on loopback that is free just now.
+func freeAddress() (string, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", err
+	}
+	defer l.Close()
+	return l.Addr().String(), nil
+}
+
+// clientPool keeps connections to one router.
+type clientPool struct {
+	address string
+	mu      sync.Mutex
+	idle    []*rest.Client
+}
+
+func (c *clientPool) get(ctx context.Context) (*rest.Client, error) {
+	c.mu.Lock()
+	for len(c.idle) > 0 {
+		x := c.idle[len(c.idle)-1]
+		c.idle = c.idle[:len(c.idle)-1]
+		if !x.Stale() {
+			c.mu.Unlock()
+			return x, nil
+		}
+		x.Close()
+	}
+	c.mu.Unlock()
+	ctx, cancel := context.WithTimeout(ctx, time.Second)
+	defer cancel()
+	return rest.Dial(ctx, c.address, &rest.Usual)
+}
+
+func (c *clientPool) put(x *rest.Client) {
+	c.mu.Lock()
+	c.idle = append(c.idle, x)
+	c.mu.Unlock()
+}
+
+func (c *clientPool) close() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, x := range c.idle {
+		x.Close()
+	}
+	c.idle = nil
+}
+
+// effect has one client get its effect, with further tries where its workload and the answers allow them; it tells
+// whether it was finished within the start target.
+func (p *play) effect(ctx context.Context, c call) bool {
+	const tries = 3
+	begun := time.Now()
+	router := c.router
+	var first time.Time // of a try that may have run
+	for n := 1; n <= tries; n++ {
+		left := c.patience - time.Since(begun)
+		if left < 20*time.Millisecond || ctx.Err() != nil {
+			return false
+		}
+		o := p.try(ctx, c, router, n, left)
+		if o.word == audit.Finished {
+			return time.Since(begun) <= c.workload.target
+		}
+		if o.mayHaveRun && first.IsZero() {
+			first = o.begun
+		}
+		again := time.Duration(0)
+		switch {
+		case c.leaves > 0:
+			return false
+		case o.untaken:
+			router = (router + 1) % len(p.addrs)
+		case o.word == audit.PushedBack:
+			again = o.after
+		case o.word == audit.Killed, o.mayHaveRun:
+			// Nothing is promised: only what may run twice is asked again, the rest as its window allows.
+			if c.workload.effect == "run-once" || c.workload.group == "zone" {
+				return false
+			}
+			if c.workload.effect == "fingerprinted" && time.Since(first)+left > c.workload.window {
+				return false
+			}
+			router = (router + 1) % len(p.addrs)
+		default:
+			return false
+		}
+		if c.hasty {
+			again = 0
+		}
+		if sleep(ctx, again) != nil {
+			return false
+		}
+	}
+	return false
+}
+
+type outcome struct {
+	word       string
+	untaken    bool // it was provably never asked
+	mayHaveRun bool
+	begun      time.Time
+	after      time.Duration
+}
+
+// try asks once.
+func (p *play) try(ctx context.Context, c call, router, n int, left time.Duration) outcome {
+	rec := audit.Record{Job: fmt.Sprintf("%d.%d", c.number, n), Effect: itoa(c.number), Workload: c.workload.name, Router: router}
+	add := func(k audit.Kind) { rec.Kind = k; p.log.Add(rec) }
+	o := outcome{begun: time.Now()}
+	x, err := p.client[router].get(ctx)
+	if err != nil {
+		sleep(ctx, 50*time.Millisecond)
+		o.untaken = true
+		return o
+	}
+	q := &rest.Request{Method: "POST", Target: kserve.Call{Kind: kserve.Infer, Model: c.function}.Target(),
+		Header: rest.Header{"Host": {p.addrs[router]}, "Content-Type": {"application/json"}, kserve.AttemptHeader: {itoa(n)},
+			kserve.RepeatMark: {"effect-" + itoa(c.number)}},
+		Body: fmt.Appendf(nil, `{"id":%q,"parameters":{"timeout":%d,"effect":%q},"inputs":[{"name":"x","shape":[2],"datatype":"FP32","data":[1,2]}]}`,
+			rec.Job, left.Microseconds(), rec.Effect)}
+	if c.workload.effect != "fingerprinted" {
+		delete(q.Header, kserve.RepeatMark)
+	}
+	rec.Limit = p.log.Now() + left.Microseconds()
+	add(audit.Asked)
+	deadline := time.Now().Add(left + 300*time.Millisecond) // beyond its time, so that a late answer is seen
+	if c.hasty {
+		deadline = time.Now().Add(left)
+	}
+	if c.leaves > 0 {
+		deadline = time.Now().Add(min(left, c.leaves))
+	}
+	res, progress, err := x.Do(q, deadline)
+	switch {
+	case err != nil:
+		x.Close()
+		o.mayHaveRun = progress >= rest.Whole
+		if o.untaken = !o.mayHaveRun; o.untaken {
+			add(audit.Untaken)
+		} else if errors.Is(err, rest.ErrTimeout) && (c.hasty || c.leaves > 0) {
+			add(audit.LeftIt)
+		} else {
+			add(audit.GaveUp)
+		}
+		return o
+	case res.Close:
+		x.Close()
+	default:
+		p.client[router].put(x)
+	}
+	rec.Word = audit.Other
+	switch answer := gjson.GetBytes(res.Body, "answer").Str; {
+	case res.Status == 200:
+		rec.Word = audit.Finished
+		if gjson.GetBytes(res.Body, "id").Str != rec.Job {
+			p.fail(fmt.Errorf("job %s got the answer of another: %s", rec.Job, res.Body))
+		}
+	case answer == audit.PushedBack && res.Status == 503:
+		rec.Word = audit.PushedBack
+		o.after = time.Duration(gjson.GetBytes(res.Body, "retry_after_us").Int()) * time.Microsecond
+	case answer == audit.Killed && res.Status == 504:
+		rec.Word, o.mayHaveRun = audit.Killed, true
+	}
+	o.word = rec.Word
+	add(audit.Answered)
+	return o
+}
--- /dev/null
+++ b/internal/lab/day.go
@@ -0,0 +1,519 @@
+package lab
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/google/renameio/v2"
+
+	"hollymast/internal/audit"
+	"hollymast/internal/rest"
+	"hollymast/internal/standin"
+)
+
+func itoa(n int) string { return strconv.Itoa(n) }
+
+// The servers of a day: about twice the demand of a usual day, with loads far longer than jobs.
+const (
+	cores        = 2
+	lanes        = 2
+	work         = 50 * time.Millisecond
+	rate         = float64(cores) * float64(time.Second/work) // jobs a second that a warm server bears
+	cold         = 4 * time.Second
+	coldFrom     = 0.25
+	fall         = time.Second
+	fallMultiple = 2.0
+	grace        = 500 * time.Millisecond
+	loadWindow   = 4 * time.Second
+	loadFree     = 6
+	loadShare    = 0.05
+)
+
+// play is a day under way.
+type play struct {
+	day     *Day
+	dir     string
+	bin     string
+	log     *audit.Log
+	store   *standin.Store
+	servers []*standin.Server
+	routers []*process
+	addrs   []string
+	client  []*clientPool
+	begun   time.Time
+
+	mu     sync.Mutex
+	states []string // as the list is to tell them
+	told   []string // as it does
+	stale  int      // troubles that keep the list from being written
+	faults error
+}
+
+// process is one router.
+type process struct {
+	number int
+	file   string
+	mu     sync.Mutex
+	cmd    *exec.Cmd
+	ended  chan struct{}
+	err    error
+	log    *os.File
+}
+
+// Result is a day's end.
+type Result struct {
+	*audit.Verdict
+	InTime  float64 // share of all effects that were finished within their start target
+	Records int
+}
+
+// Run plays a day with routers of the named program. Everything that it starts has ended when it returns.
+func Run(ctx context.Context, d *Day, program string) (res *Result, err error) {
+	dir, err := os.MkdirTemp("", "hmlab-")
+	if err != nil {
+		return nil, err
+	}
+	p := &play{day: d, dir: dir, bin: program, log: audit.NewLog(), store: standin.NewStore(100*time.Millisecond, 4)}
+	defer func() {
+		for _, r := range p.routers {
+			r.end(syscall.SIGKILL)
+		}
+		for _, s := range p.servers {
+			s.Stop()
+		}
+		if err == nil && res.Kept() {
+			os.RemoveAll(dir)
+		} else {
+			err = join(err, fmt.Sprintf("the routers' logs are kept in %s", dir))
+		}
+	}()
+	if err := p.start(ctx); err != nil {
+		return nil, err
+	}
+	in, total := p.run(ctx)
+	for i, r := range p.routers {
+		p.log.Add(audit.Record{Kind: audit.Halted, Router: i})
+		if e := r.end(syscall.SIGTERM); e != nil && ctx.Err() == nil {
+			p.fail(fmt.Errorf("router %d did not end well when told to: %w", i, e))
+		}
+	}
+	if p.faults != nil {
+		return nil, p.faults
+	}
+	if ctx.Err() != nil {
+		return nil, ctx.Err()
+	}
+	recs := p.log.Records()
+	return &Result{Verdict: audit.Judge(p.law(), recs), InTime: float64(in) / float64(max(1, total)), Records: len(recs)}, nil
+}
+
+func join(err error, text string) error {
+	if err == nil {
+		return nil
+	}
+	return fmt.Errorf("%w (%s)", err, text)
+}
+
+func (p *play) fail(err error) {
+	p.mu.Lock()
+	if p.faults == nil {
+		p.faults = err
+	}
+	p.mu.Unlock()
+}
+
+func (p *play) start(ctx context.Context) error {
+	d := p.day
+	for i := range d.Workers {
+		s := standin.New(standin.Make{Number: i, Copies: 40, Lanes: lanes, Cores: cores, Work: work, Queue: 40,
+			Load: 200 * time.Millisecond, Loads: 4, Window: 5 * time.Second, Cold: cold, ColdFrom: coldFrom, Fall: fall,
+			FallOver: rate * fallMultiple, Seed: d.Seed}, p.store, p.log)
+		if err := s.Start(false); err != nil {
+			return err
+		}
+		p.servers = append(p.servers, s)
+		p.states = append(p.states, "ready")
+	}
+	p.told = make([]string, d.Workers)
+	p.publish()
+	for i := range d.Routers {
+		r := &process{number: i}
+		p.routers = append(p.routers, r)
+		addr, err := freeAddress()
+		if err != nil {
+			return err
+		}
+		p.addrs = append(p.addrs, addr)
+		p.client = append(p.client, &clientPool{address: addr})
+		r.file = filepath.Join(p.dir, fmt.Sprintf("router-%d.ini", i))
+		if err := os.WriteFile(r.file, p.settings(i), 0o600); err != nil {
+			return err
+		}
+		if err := r.start(p.bin, p.dir); err != nil {
+			return err
+		}
+	}
+	for i := range p.routers {
+		if err := p.awaitReady(ctx, i); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// settings writes one router's file.
+func (p *play) settings(i int) []byte {
+	var b bytes.Buffer
+	fmt.Fprintf(&b, "[router]\nlisten = %s\nnumber = %d\nrouters = %d\nzone = %s\nlist = %s\nseed = %d\nlog = info\n", p.addrs[i], i,
+		p.day.Routers, zone(i), filepath.Join(p.dir, "workers.ini"), p.day.Seed*64+uint64(i)+1)
+	fmt.Fprintf(&b, "[servers]\nkeep_alive = 1m\ncold_from = %g\ncold = %s\nfall = %s\nfall_multiple = %g\ngrace = %s\n", coldFrom, cold, fall, fallMultiple, grace)
+	if p.day.Ration {
+		fmt.Fprintf(&b, "load_window = %s\nload_free = %d\nload_share = %g\n", loadWindow, loadFree, loadShare)
+	}
+	for _, w := range mix {
+		fmt.Fprintf(&b, "[workload %s]\nstart_target = %s\ntime_limit = %s\neffect = %s\n", w.name, w.target, w.limit, w.effect)
+		if w.window > 0 {
+			fmt.Fprintf(&b, "group = %s\nwindow = %s\n", w.group, w.window)
+		}
+		fmt.Fprintf(&b, "[function %s-*]\nworkload = %s\nlanes = %d\n", w.name, w.name, lanes)
+	}
+	return b.Bytes()
+}
+
+func zone(i int) string { return string(rune('a' + i%3)) }
+
+// law is what the judge is told: the same figures as the routers, and the stand-ins' own rate.
+func (p *play) law() audit.Law {
+	l := audit.Law{Workloads: map[string]audit.Workload{}, Grace: grace.Microseconds(), Cold: cold.Microseconds(),
+		ColdFrom: coldFrom, Fall: fall.Microseconds(), FallMultiple: fallMultiple, Rate: rate,
+		Travel: 50_000} // as the module allows for a hop
+	for i := range p.servers {
+		l.Zone, l.Cell = append(l.Zone, zone(i)), append(l.Cell, zone(i))
+	}
+	for _, w := range mix {
+		l.Workloads[w.name] = audit.Workload{RunOnce: w.effect == "run-once", Fingerprinted: w.effect == "fingerprinted",
+			Group: w.group, Window: w.window.Microseconds()}
+	}
+	if p.day.Ration {
+		l.LoadWindow, l.LoadFree, l.LoadShare = loadWindow.Microseconds(), loadFree, loadShare
+	}
+	return l
+}
+
+// publish writes the list, unless a trouble keeps it.
+func (p *play) publish() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.stale > 0 {
+		return
+	}
+	var b bytes.Buffer
+	for i, s := range p.servers {
+		if p.states[i] == "gone" {
+			continue
+		}
+		fmt.Fprintf(&b, "[server %d]\naddress = %s\nstate = %s\nzone = %s\ncell = %s\nborn = %s\n", i, s.Address(), p.states[i], zone(i), zone(i),
+			s.Born().UTC().Format(time.RFC3339Nano))
+	}
+	if err := renameio.WriteFile(filepath.Join(p.dir, "workers.ini"), b.Bytes(), 0o600); err != nil && p.faults == nil {
+		p.faults = err
+	}
+	for i, state := range p.states {
+		if p.told[i] != state {
+			p.log.Add(audit.Record{Kind: audit.Told, Server: i, Word: state})
+		}
+	}
+	p.told = slices.Clone(p.states)
+}
+
+func (p *play) set(i int, state string) {
+	p.mu.Lock()
+	p.states[i] = state
+	p.mu.Unlock()
+	p.publish()
+}
+
+func (r *process) start(bin, dir string) error {
+	var err error
+	if r.log, err = os.OpenFile(filepath.Join(dir, fmt.Sprintf("router-%d.log", r.number)), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600); err != nil {
+		return err
+	}
+	cmd := exec.Command(bin, "serve", r.file)
+	cmd.Stdout, cmd.Stderr = r.log, r.log
+	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	if err := cmd.Start(); err != nil {
+		return err
+	}
+	ended := make(chan struct{})
+	r.mu.Lock()
+	r.cmd, r.ended = cmd, ended
+	r.mu.Unlock()
+	go func() {
+		err := cmd.Wait()
+		r.mu.Lock()
+		r.err = err
+		r.mu.Unlock()
+		r.log.Close()
+		close(ended)
+	}()
+	return nil
+}
+
+func (r *process) signal(s syscall.Signal) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.cmd != nil {
+		r.cmd.Process.Signal(s)
+	}
+}
+
+// end sends a signal and waits for the process; after ten seconds it is killed.
+func (r *process) end(s syscall.Signal) error {
+	r.mu.Lock()
+	ended := r.ended
+	r.mu.Unlock()
+	if ended == nil {
+		return nil
+	}
+	select {
+	case <-ended:
+		return nil
+	default:
+	}
+	r.signal(s)
+	select {
+	case <-ended:
+	case <-time.After(10 * time.Second): // longer than any job's limit
+		r.signal(syscall.SIGKILL)
+		<-ended
+		return fmt.Errorf("it had to be killed")
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if s == syscall.SIGKILL {
+		return nil
+	}
+	return r.err
+}
+
+// run plays calls and troubles and counts the effects finished in time.
+func (p *play) run(ctx context.Context) (in, total int) {
+	p.begun = time.Now()
+	var wg sync.WaitGroup
+	for _, t := range p.day.Troubles {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			if p.until(ctx, t.At) == nil {
+				p.trouble(ctx, t)
+			}
+		}()
+	}
+	var mu sync.Mutex
+	for _, c := range p.day.schedule() {
+		if p.until(ctx, c.at) != nil {
+			break
+		}
+		total++
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			if p.effect(ctx, c) {
+				mu.Lock()
+				in++
+				mu.Unlock()
+			}
+		}()
+	}
+	wg.Wait()
+	for _, c := range p.client {
+		c.close()
+	}
+	return in, total
+}
+
+func (p *play) until(ctx context.Context, at time.Duration) error {
+	return sleep(ctx, at-time.Since(p.begun))
+}
+
+func sleep(ctx context.Context, d time.Duration) error {
+	if d <= 0 {
+		return ctx.Err()
+	}
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// trouble makes one trouble and ends it.
+func (p *play) trouble(ctx context.Context, t Trouble) {
+	which := []int{t.Number}
+	if t.Number < 0 {
+		which = nil
+		for i := range p.servers {
+			which = append(which, i)
+		}
+	}
+	if !strings.HasPrefix(t.Kind, "balancer") {
+		which = slices.DeleteFunc(which, func(i int) bool { return i >= len(p.servers) })
+	}
+	faults := func(f standin.Faults) {
+		for _, i := range which {
+			p.servers[i].Fail(f)
+		}
+	}
+	switch t.Kind {
+	case "hang":
+		faults(standin.Faults{Silent: true})
+	case "pauses":
+		for end := time.Now().Add(t.Lasts); time.Now().Before(end) && ctx.Err() == nil; {
+			faults(standin.Faults{Slow: 10})
+			sleep(ctx, 200*time.Millisecond)
+			faults(standin.Faults{})
+			sleep(ctx, 600*time.Millisecond)
+		}
+		return
+	case "answer_lost":
+		faults(standin.Faults{Lost: t.Share})
+	case "reset_before":
+		faults(standin.Faults{ResetEre: t.Share})
+	case "reset_after":
+		faults(standin.Faults{ResetPost: t.Share})
+	case "refuse":
+		faults(standin.Faults{Full: true})
+	case "ageing":
+		for step := range 5 {
+			faults(standin.Faults{Slow: 1 + (t.Times-1)*float64(step+1)/5})
+			sleep(ctx, t.Lasts/5)
+		}
+	case "origin_slow":
+		p.store.Set(t.Times, false)
+		sleep(ctx, t.Lasts)
+		p.store.Set(1, false)
+		return
+	case "origin_stopped":
+		p.store.Set(1, true)
+		sleep(ctx, t.Lasts)
+		p.store.Set(1, false)
+		return
+	case "discovery_stale":
+		p.mu.Lock()
+		p.stale++
+		p.mu.Unlock()
+		sleep(ctx, t.Lasts)
+		p.mu.Lock()
+		p.stale--
+		p.mu.Unlock()
+		p.publish()
+		return
+	case "crash":
+		for _, i := range which {
+			p.servers[i].Stop()
+		}
+		sleep(ctx, t.Lasts)
+		p.revive(ctx, which)
+		return
+	case "vanish":
+		faults(standin.Faults{Silent: true})
+		sleep(ctx, t.Lasts)
+		for _, i := range which {
+			p.servers[i].Stop()
+		}
+		p.revive(ctx, which)
+		return
+	case "deploy":
+		for _, i := range which {
+			p.set(i, "draining")
+		}
+		sleep(ctx, t.Lasts)
+		for _, i := range which {
+			p.set(i, "gone")
+			p.servers[i].Stop()
+		}
+		p.revive(ctx, which)
+		return
+	case "balancer_stall", "balancer_roll", "balancer_kill":
+		p.routerTrouble(ctx, t)
+		return
+	}
+	if t.Kind != "ageing" {
+		sleep(ctx, t.Lasts)
+	}
+	faults(standin.Faults{})
+}
+
+// revive starts dead servers, cold and empty, and has the list tell it a little later.
+func (p *play) revive(ctx context.Context, which []int) {
+	for _, i := range which {
+		if err := p.servers[i].Start(true); err != nil {
+			p.fail(fmt.Errorf("server %d could not start again: %w", i, err))
+		}
+	}
+	for _, i := range which {
+		p.set(i, "ready")
+	}
+}
+
+func (p *play) routerTrouble(ctx context.Context, t Trouble) {
+	if t.Number < 0 || t.Number >= len(p.routers) {
+		return
+	}
+	r, halted := p.routers[t.Number], audit.Record{Router: t.Number}
+	halted.Kind = audit.Halted
+	p.log.Add(halted)
+	switch t.Kind {
+	case "balancer_stall":
+		r.signal(syscall.SIGSTOP)
+		sleep(ctx, t.Lasts)
+		r.signal(syscall.SIGCONT)
+	case "balancer_roll":
+		if err := r.end(syscall.SIGTERM); err != nil {
+			p.fail(fmt.Errorf("router %d did not end well when told to: %w", t.Number, err))
+		}
+		fallthrough
+	case "balancer_kill":
+		r.end(syscall.SIGKILL)
+		sleep(ctx, t.Lasts)
+		if err := r.start(p.bin, p.dir); err != nil {
+			p.fail(err)
+			return
+		}
+		p.awaitReady(ctx, t.Number)
+	}
+	halted.Kind = audit.Back
+	p.log.Add(halted)
+}
+
+// awaitReady waits until a router says that it takes jobs.
+func (p *play) awaitReady(ctx context.Context, i int) error {
+	const most = 10 * time.Second
+	for end := time.Now().Add(most); time.Now().Before(end); {
+		c, err := rest.Dial(ctx, p.addrs[i], &rest.Usual)
+		if err == nil {
+			res, _, err := c.Do(&rest.Request{Method: "GET", Target: "/v2/health/ready", Header: rest.Header{"Host": {"lab"}}}, time.Now().Add(time.Second))
+			c.Close()
+			if err == nil && res.Status == 200 {
+				return nil
+			}
+		}
+		if err := sleep(ctx, 10*time.Millisecond); err != nil {
+			return err
+		}
+	}
+	return fmt.Errorf("router %d was not ready within %s", i, most)
+}
--- /dev/null
+++ b/internal/lab/script.go
@@ -0,0 +1,143 @@
+// Package lab plays days: real router processes, stand-ins and clients on loopback, with scripted troubles, judged by
+// what crossed the sockets.
+package lab
+
+import (
+	_ "embed"
+	"math/rand/v2"
+	"strings"
+	"time"
+
+	"hollymast/internal/inifile"
+)
+
+//go:embed bad.ini
+var badDay []byte
+
+// Day is what is played.
+type Day struct {
+	Name      string
+	Seed      uint64
+	Jobs      int
+	Length    time.Duration
+	Routers   int
+	Workers   int
+	Functions int
+	Ration    bool
+	Troubles  []Trouble
+}
+
+// Trouble is something that goes wrong for a time.
+type Trouble struct {
+	Name   string
+	Kind   string
+	At     time.Duration
+	Lasts  time.Duration
+	Number int     // of the server or router; -1: all
+	Share  float64 // of jobs, where the kind has one
+	Times  float64 // how much slower
+}
+
+// The kinds, in the words of a bench day's troubles, and those of single connections.
+var kinds = []string{"hang", "crash", "vanish", "pauses", "answer_lost", "origin_slow", "origin_stopped", "hot_key", "scan",
+	"discovery_stale", "deploy", "give_up", "retry_abuse", "balancer_stall", "balancer_roll", "balancer_kill", "ageing",
+	"reset_before", "reset_after", "refuse"}
+
+// ReadDay reads a day's script; nil text means the built-in bad day. Flags may change its size afterwards.
+func ReadDay(name string, text []byte) (*Day, error) {
+	if text == nil {
+		name, text = "bad.ini", badDay
+	}
+	f, err := inifile.Read(name, text)
+	if err != nil {
+		return nil, err
+	}
+	s := f.Section("day")
+	d := &Day{Name: s.Text("name", name), Jobs: s.Int("jobs", 5000, 1, 10_000_000), Length: s.Span("length", 20*time.Second, time.Second, time.Hour),
+		Routers: s.Int("routers", 3, 1, 64), Workers: s.Int("workers", 12, 1, 256), Functions: s.Int("functions", 60, 1, 100_000),
+		Ration: s.Flag("ration", true)}
+	for _, s := range f.Sections("trouble ") {
+		t := Trouble{Name: strings.TrimPrefix(s.Name, "trouble "), At: s.Span("at", 0, 0, time.Hour), Lasts: s.Span("lasts", time.Second, 0, time.Hour),
+			Number: s.Int("number", 0, -1, 255), Share: s.Float("share", 0.3, 0, 1), Times: s.Float("times", 5, 1, 1000)}
+		t.Kind = kinds[s.OneOf("kind", "", kinds...)]
+		if t.At+t.Lasts > d.Length {
+			s.Fault("lasts", "ends after the day's %s", d.Length)
+		}
+		d.Troubles = append(d.Troubles, t)
+	}
+	return d, f.Check()
+}
+
+// workload is one row of the day's mix of jobs.
+type workload struct {
+	name, effect, group string
+	share               float64
+	target, limit       time.Duration
+	window              time.Duration
+}
+
+var mix = []workload{
+	{"forecast", "restartable", "", 0.55, 400 * time.Millisecond, 4 * time.Second, 0},
+	{"pickup-booking", "fingerprinted", "fleet", 0.2, 300 * time.Millisecond, 3 * time.Second, 5 * time.Second},
+	{"label", "fingerprinted", "zone", 0.1, 300 * time.Millisecond, 6 * time.Second, 2 * time.Second},
+	{"ticket", "run-once", "", 0.15, 400 * time.Millisecond, 3 * time.Second, 0},
+}
+
+// call is one effect that a client wants.
+type call struct {
+	at       time.Duration
+	router   int
+	workload *workload
+	function string
+	patience time.Duration
+	number   int
+	hasty    bool // leaves early and asks again at once
+	leaves   time.Duration
+}
+
+// schedule draws the day's calls: the same for the same seed.
+func (d *Day) schedule() []call {
+	chance := rand.New(rand.NewPCG(d.Seed, 1))
+	calls := make([]call, d.Jobs)
+	at := 0.0
+	for i := range calls {
+		at += chance.ExpFloat64()
+		calls[i] = call{at: time.Duration(at * float64(time.Second)), number: i, router: chance.IntN(d.Routers)}
+	}
+	scale := float64(d.Length) / (at * float64(time.Second))
+	zipf := rand.NewZipf(chance, 1.2, 4, uint64(d.Functions-1))
+	for i := range calls {
+		c := &calls[i]
+		c.at = time.Duration(float64(c.at) * scale)
+		u := chance.Float64()
+		for k := range mix {
+			if c.workload = &mix[k]; u < mix[k].share {
+				break
+			}
+			u -= mix[k].share
+		}
+		f := zipf.Uint64()
+		c.function = c.workload.name + "-" + itoa(int(f))
+		c.patience = time.Duration((0.5 + 0.5*chance.Float64()) * float64(c.workload.limit))
+		hit, leaves := chance.Float64(), chance.Float64()
+		if leaves < 0.005 { // some clients go at any time
+			c.leaves = time.Duration(chance.Float64() * 0.2 * float64(time.Second))
+		}
+		for _, t := range d.Troubles {
+			if c.at < t.At || c.at >= t.At+t.Lasts || hit >= t.Share {
+				continue
+			}
+			switch t.Kind {
+			case "hot_key":
+				c.workload, c.function = &mix[0], "forecast-hot-"+t.Name
+			case "scan":
+				c.workload, c.function = &mix[0], "forecast-once-"+itoa(c.number)
+			case "give_up":
+				c.patience = c.workload.target
+			case "retry_abuse":
+				c.patience, c.hasty = c.workload.target/2, true
+			}
+		}
+	}
+	return calls
+}
--- /dev/null
+++ b/internal/program/program.go
@@ -0,0 +1,76 @@
+// Package program is what the small programs share: the form of their logs, their exit codes and how they tell faults.
+package program
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"os"
+
+	"github.com/alecthomas/kong"
+	"github.com/rs/zerolog"
+
+	"hollymast/internal/inifile"
+)
+
+// Exit codes.
+const (
+	Well     = 0
+	Found    = 1 // a breach or a failure was found
+	WrongUse = 2 // the call or its input is wrong
+)
+
+// Use marks an error as wrong use of the program.
+type Use struct{ Err error }
+
+func (u Use) Error() string { return u.Err.Error() }
+
+// Unwrap gives the error itself.
+func (u Use) Unwrap() error { return u.Err }
+
+// Log gives the structured log: a JSON object a line, times in whole microseconds since 1970.
+func Log(w io.Writer, name, level string) zerolog.Logger {
+	zerolog.TimeFieldFormat = zerolog.TimeFormatUnixMicro
+	l, err := zerolog.ParseLevel(level)
+	if err != nil {
+		l = zerolog.InfoLevel
+	}
+	return zerolog.New(w).Level(l).With().Timestamp().Str("program", name).Logger()
+}
+
+// Parse reads the arguments into a struct of kong's; wrong ones end the program.
+func Parse(cli any, name, about string) *kong.Context {
+	parser, err := kong.New(cli, kong.Name(name), kong.Description(about),
+		kong.Exit(func(code int) {
+			if code != Well {
+				code = WrongUse
+			}
+			os.Exit(code)
+		}))
+	if err != nil {
+		panic(err) // the struct itself is wrong
+	}
+	ctx, err := parser.Parse(os.Args[1:])
+	parser.FatalIfErrorf(err)
+	return ctx
+}
+
+// Exit tells an error in plain lines and ends the program with the code that fits.
+func Exit(name string, err error) {
+	if err == nil {
+		os.Exit(Well)
+	}
+	var faults *inifile.Faults
+	if errors.As(err, &faults) {
+		for _, l := range faults.Lines {
+			fmt.Fprintln(os.Stderr, l)
+		}
+		os.Exit(WrongUse)
+	}
+	fmt.Fprintf(os.Stderr, "%s: %s\n", name, err)
+	var use Use
+	if errors.As(err, &use) || errors.Is(err, os.ErrNotExist) {
+		os.Exit(WrongUse)
+	}
+	os.Exit(Found)
+}
