--- a/cmd/hmlab/main.go
+++ b/cmd/hmlab/main.go
@@ -32,6 +32,7 @@
 	Workers int           `help:"Workers; 0: as the script says."`
 	Script  string        `help:"Script of the day (INI); without, the built-in bad day." type:"path"`
 	Router  string        `help:"The router's program; without, hollymast beside this one." type:"path"`
+	Orders  bool          `name:"orders-only" help:"Only orders load; without, jobs load what they miss on odd seeds and orders alone on even ones, unless a script is given."`
 	JSON    bool          `name:"json" help:"Print the result as JSON before the verdict."`
 	Most    time.Duration `default:"10m" help:"End the day after this time, whatever happens."`
 }
@@ -49,6 +50,7 @@
 		return err
 	}
 	script.Seed = d.Seed
+	script.Orders = script.Orders || d.Orders || d.Script == "" && d.Seed%2 == 0
 	for _, x := range []struct {
 		flag int
 		to   *int
--- a/internal/audit/log.go
+++ b/internal/audit/log.go
@@ -41,6 +41,9 @@
 	Other      = "other" // a refusal before the job was taken
 )
 
+// Restarted is the word of Back for a router that was ended and started anew.
+const Restarted = "restarted"
+
 // Record is one thing seen at one end of a wire. Times are microseconds of one monotonic clock.
 type Record struct {
 	At       int64
--- a/internal/gateway/clients.go
+++ b/internal/gateway/clients.go
@@ -164,6 +164,9 @@
 		}
 		return pushedBack(why, g.told.Deployment.MaxStayAway), false
 	}
+	if c.Gone() { // after a stall of this process, say: its time may be long over
+		return pushedBack("the client closed its side of the connection", 0), true
+	}
 	tenant, ok := g.told.Tenants[q.Header.Get(tenantHeader)]
 	if !ok {
 		tenant = control.TenantID(len(g.told.Deployment.Shares)) // of no told share
--- a/internal/lab/script.go
+++ b/internal/lab/script.go
@@ -24,6 +24,7 @@
 	Workers   int
 	Functions int
 	Ration    bool
+	Orders    bool // only orders load
 	Troubles  []Trouble
 }
 
@@ -56,6 +57,7 @@
 	d := &Day{Name: s.Text("name", name), Jobs: s.Int("jobs", 5000, 1, 10_000_000), Length: s.Span("length", 20*time.Second, time.Second, time.Hour),
 		Routers: s.Int("routers", 3, 1, 64), Workers: s.Int("workers", 12, 1, 256), Functions: s.Int("functions", 60, 1, 100_000),
 		Ration: s.Flag("ration", true)}
+	d.Orders = s.Flag("orders_only", false)
 	for _, s := range f.Sections("trouble ") {
 		t := Trouble{Name: strings.TrimPrefix(s.Name, "trouble "), At: s.Span("at", 0, 0, time.Hour), Lasts: s.Span("lasts", time.Second, 0, time.Hour),
 			Number: s.Int("number", 0, -1, 255), Share: s.Float("share", 0.3, 0, 1), Times: s.Float("times", 5, 1, 1000)}
--- a/internal/rest/client.go
+++ b/internal/rest/client.go
@@ -64,21 +64,33 @@
 	if c.r.Buffered() > 0 {
 		return true
 	}
-	sc, ok := c.nc.(syscall.Conn)
-	if !ok {
-		return false
+	return !quiet(c.nc)
+}
+
+// quiet tells whether a connection is open at both ends and has brought nothing that was not read.
+func quiet(nc net.Conn) bool {
+	e, ok := glance(nc)
+	return ok && (e == syscall.EAGAIN || e == syscall.EWOULDBLOCK)
+}
+
+// glance looks at a connection's next byte without taking it or waiting; ok is false at its end.
+func glance(nc net.Conn) (e syscall.Errno, ok bool) {
+	sc, is := nc.(syscall.Conn)
+	if !is {
+		return syscall.EAGAIN, true // no socket: nothing can be seen
 	}
 	raw, err := sc.SyscallConn()
 	if err != nil {
-		return true
+		return 0, false
 	}
-	stale := true
+	n := 0
 	err = raw.Control(func(fd uintptr) {
 		var b [1]byte
-		_, _, e := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		stale = e != syscall.EAGAIN && e != syscall.EWOULDBLOCK // nothing there, and still open
+		var got error
+		n, _, got = syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		e, _ = got.(syscall.Errno)
 	})
-	return stale || err != nil
+	return e, err == nil && (e != 0 || n > 0)
 }
 
 // Do sends a request and reads the response, both by the deadline. Progress is told with every error; after one, and
--- a/internal/rest/server.go
+++ b/internal/rest/server.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"os"
+	"syscall"
 	"time"
 )
 
@@ -117,6 +118,16 @@
 	}
 }
 
+// Gone tells whether the client has already closed or broken the connection, as far as can be seen without waiting.
+// Behind requests that it sent ahead nothing can be seen.
+func (c *Conn) Gone() bool {
+	if c.r.Buffered() > 0 {
+		return false
+	}
+	e, ok := glance(c.nc)
+	return !ok || e != 0 && e != syscall.EAGAIN && e != syscall.EWOULDBLOCK
+}
+
 // Answer writes the response to the request in hand.
 func (c *Conn) Answer(p *Response) error {
 	c.out = appendResponse(c.out[:0], c.method, p)
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -22,22 +22,23 @@
 
 // Make is what a server is made like.
 type Make struct {
-	Number    int
-	Copies    int           // that fit into its memory
-	Lanes     int           // jobs that one copy runs at once
-	Cores     int           // jobs that it runs at once; others wait
-	Work      time.Duration // of one job, on average
-	Queue     int           // jobs that wait before it refuses
-	Load      time.Duration // beside the fetch
-	Loads     int           // at once; as many more may wait
-	Window    time.Duration // for which repeats are known
-	KeepAlive time.Duration
-	Cold      time.Duration
-	ColdFrom  float64
-	Fall      time.Duration
-	FallOver  float64 // jobs a second at full capacity times the told multiple: more, while cold, and it falls over
-	Down      time.Duration
-	Seed      uint64
+	Number     int
+	Copies     int           // that fit into its memory
+	Lanes      int           // jobs that one copy runs at once
+	Cores      int           // jobs that it runs at once; others wait
+	Work       time.Duration // of one job, on average
+	Queue      int           // jobs that wait before it refuses
+	Load       time.Duration // beside the fetch
+	Loads      int           // at once; as many more may wait
+	OrdersOnly bool          // a job whose function is missing is refused with 404
+	Window     time.Duration // for which repeats are known
+	KeepAlive  time.Duration
+	Cold       time.Duration
+	ColdFrom   float64
+	Fall       time.Duration
+	FallOver   float64 // jobs a second at full capacity times the told multiple: more, while cold, and it falls over
+	Down       time.Duration
+	Seed       uint64
 }
 
 // Store is the one source of all functions. Fetches share it.
@@ -225,11 +226,11 @@
 // Address is where it listens, or did.
 func (s *Server) Address() string { return s.address }
 
-// Born is when it last started.
-func (s *Server) Born() time.Time {
+// Born is when it last started, and whether that was cold.
+func (s *Server) Born() (at time.Time, cold bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.born
+	return s.born, s.cold
 }
 
 // Fail sets its ways of failing.
@@ -271,7 +272,7 @@
 func (s *Server) respond(life context.Context, q *rest.Request) *rest.Response {
 	call, err := kserve.ReadTarget(q.Method, q.Target)
 	if err != nil {
-		return s.answer(404, kserve.Fault{Error: err.Error()}.Body(), "")
+		return s.answer(404, kserve.Fault{Error: err.Error()}.Body())
 	}
 	s.mu.Lock()
 	silent := s.faults.Silent
@@ -286,7 +287,7 @@
 		}
 		return s.ordered(life, call.Model, int(gjson.GetBytes(q.Body, "parameters.copies").Int()))
 	}
-	return s.answer(200, []byte(`{"live":true,"ready":true}`), "")
+	return s.answer(200, []byte(`{"live":true,"ready":true}`))
 }
 
 func router(q *rest.Request) int {
@@ -322,7 +323,7 @@
 		return nil
 	case f.Full:
 		add(audit.Refused)
-		return s.answer(503, kserve.Fault{Error: "full"}.Body(), "")
+		return s.answer(503, kserve.Fault{Error: "full"}.Body())
 	}
 	m, known, done := s.remember(q.Header.Get(kserve.RepeatMark))
 	if known {
@@ -334,6 +335,11 @@
 			return nil
 		}
 	}
+	if s.missing(model) {
+		done(false)
+		add(audit.Refused)
+		return s.answer(404, kserve.Fault{Error: "not loaded"}.Body())
+	}
 	found, release, ok := s.place(life, model)
 	if !ok {
 		done(false)
@@ -341,7 +347,7 @@
 			return nil
 		}
 		add(audit.Refused)
-		return s.answer(503, kserve.Fault{Error: "no room"}.Body(), "")
+		return s.answer(503, kserve.Fault{Error: "no room"}.Body())
 	}
 	add(audit.Began)
 	work := s.work(f.Slow)
@@ -362,11 +368,11 @@
 }
 
 func (s *Server) output(id, found string) *rest.Response {
-	return s.answer(200, fmt.Appendf(nil, `{"model_name":"m","id":%q,"parameters":{"found":%q},"outputs":[]}`, id, found), found)
+	return s.answer(200, fmt.Appendf(nil, `{"model_name":"m","id":%q,"parameters":{"found":%q},"outputs":[]}`, id, found))
 }
 
 // answer builds a response with the load report.
-func (s *Server) answer(status int, body []byte, _ string) *rest.Response {
+func (s *Server) answer(status int, body []byte) *rest.Response {
 	s.mu.Lock()
 	pinned := 0
 	for _, c := range s.copies {
@@ -435,6 +441,14 @@
 	}
 }
 
+// missing tells whether a job's function is not there, where only orders load.
+func (s *Server) missing(model string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	c := s.copies[model]
+	return s.m.OrdersOnly && (c == nil || c.failed)
+}
+
 // place finds a lane and a core for a job, loads its function where it is missing, and tells what it found.
 func (s *Server) place(life context.Context, model string) (found string, release func(), ok bool) {
 	s.mu.Lock()
@@ -565,7 +579,7 @@
 	if n > have {
 		if c = s.room(model, n-have); c == nil {
 			s.mu.Unlock()
-			return s.answer(503, kserve.Fault{Error: "no room"}.Body(), "")
+			return s.answer(503, kserve.Fault{Error: "no room"}.Body())
 		}
 		s.mu.Unlock()
 		s.load(life, c, n-have)
@@ -577,5 +591,5 @@
 		have = c.n
 	}
 	s.mu.Unlock()
-	return s.answer(200, kserve.LoadBody(have), "")
+	return s.answer(200, kserve.LoadBody(have))
 }
