--- a/internal/audit/rules.go
+++ b/internal/audit/rules.go
@@ -92,8 +92,11 @@
 			}
 			continue
 		}
+		if r.Job == "" {
+			continue // of no job
+		}
 		t := tries[r.Job]
-		if t == nil && r.Job != "" {
+		if t == nil {
 			t = &try{}
 			tries[r.Job] = t
 			order = append(order, t)
--- /dev/null
+++ b/internal/fleet/fleet_test.go
@@ -0,0 +1,78 @@
+package fleet
+
+import (
+	"testing"
+
+	"hollymast/control"
+)
+
+const second = 1_000_000
+
+func entry(address string, born int64) Entry {
+	return Entry{Address: address, State: control.Ready, Power: 1, Born: born}
+}
+
+// Times in lists are wall clock; the router's time began at 1000 s of it.
+func TestBornIsBroughtIntoOurTime(t *testing.T) {
+	for name, c := range map[string]struct {
+		first, then int64 // the start as told by the first list at 100 s and the next at 200 s; -1: not listed
+		want        control.Micros
+	}{
+		"unknown and old":           {0, 0, 0},
+		"as told":                   {1050 * second, 1050 * second, 50 * second},
+		"long before us":            {5 * second, 5 * second, 1},
+		"from a clock ahead":        {4600 * second, 4600 * second, 100 * second},
+		"restarted":                 {1050 * second, 1150 * second, 150 * second},
+		"restarted, clock set back": {1050 * second, 500 * second, 100 * second},
+		"restarted, clock ahead":    {1050 * second, 4800 * second, 200 * second},
+		"new, clock set back":       {-1, 500 * second, 100 * second},
+		"new, nothing told":         {-1, 0, 100 * second},
+	} {
+		f := New(1000 * second)
+		var list []Entry
+		if c.first >= 0 {
+			list = append(list, entry("127.0.0.1:9", c.first))
+		}
+		f.Whole(100*second, list)
+		got := f.Whole(200*second, []Entry{entry("127.0.0.1:9", c.then)})
+		if got[0].Born != c.want {
+			t.Errorf("%s: got %d, want %d", name, got[0].Born, c.want)
+		}
+	}
+}
+
+// A list that forgets a server for a moment does not make it cold; one whose start nobody knows may have restarted.
+func TestReturn(t *testing.T) {
+	for born, want := range map[int64]control.Micros{1050 * second: 50 * second, 0: 200 * second} {
+		f := New(1000 * second)
+		list := []Entry{entry("127.0.0.1:9", born)}
+		f.Whole(100*second, list)
+		f.Whole(200*second, nil)
+		if s := f.Get(ID("127.0.0.1:9")); s.State != control.Gone {
+			t.Errorf("got %+v", s)
+		}
+		if got := f.Whole(300*second, list); got[0].Born != want {
+			t.Errorf("born %d: got %d, want %d", born, got[0].Born, want)
+		}
+	}
+}
+
+func TestIDs(t *testing.T) {
+	ids := map[control.ServerID]string{}
+	for _, a := range []string{"127.0.0.1:80", "127.0.0.1:81", "127.0.0.2:80", "[::1]:80", "a.example:80", "b.example:80"} {
+		if other, twice := ids[ID(a)]; twice {
+			t.Errorf("%s and %s share an id", a, other)
+		}
+		ids[ID(a)] = a
+	}
+}
+
+func TestForget(t *testing.T) {
+	f := New(0)
+	f.Whole(1, []Entry{entry("127.0.0.1:1", 0), entry("127.0.0.1:2", 0), entry("127.0.0.1:3", 0)})
+	f.Whole(2, []Entry{entry("127.0.0.1:3", 0)})
+	f.Forget(func(id control.ServerID) bool { return id == ID("127.0.0.1:2") })
+	if len(f.servers) != 2 || f.Get(ID("127.0.0.1:1")) != nil {
+		t.Errorf("got %v", f.servers)
+	}
+}
--- /dev/null
+++ b/internal/gateway/gateway_test.go
@@ -0,0 +1,549 @@
+package gateway
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/tidwall/gjson"
+	"go.uber.org/goleak"
+
+	"hollymast/control"
+	"hollymast/internal/audit"
+	"hollymast/internal/inifile"
+	"hollymast/internal/rest"
+	"hollymast/internal/standin"
+	"hollymast/kserve"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+const settings = `
+[router]
+listen = 127.0.0.1:0
+admin = 127.0.0.1:0
+list = %s
+seed = 1
+[servers]
+cold = 1s
+[bounds]
+header_time = 100ms
+body_time = 100ms
+connections = 300
+[workload forecast]
+start_target = 300ms
+time_limit = 2s
+effect = restartable
+[workload booking]
+start_target = 300ms
+time_limit = 2s
+effect = fingerprinted
+window = 600ms
+[workload ticket]
+start_target = 300ms
+time_limit = 1s
+effect = run-once
+[function booking-*]
+workload = booking
+lanes = 2
+[function ticket-*]
+workload = ticket
+lanes = 2
+[function forecast-*]
+workload = forecast
+lanes = 2
+`
+
+// field is a gateway with stand-ins round it.
+type field struct {
+	t       *testing.T
+	g       *Gateway
+	log     *audit.Log
+	servers []*standin.Server
+	list    string
+	stop    context.CancelFunc
+	ended   chan error
+}
+
+func usual(n int) standin.Make {
+	return standin.Make{Number: n, Copies: 20, Lanes: 2, Cores: 4, Work: 10 * time.Millisecond, Queue: 50, Load: 5 * time.Millisecond,
+		Loads: 4, Window: 600 * time.Millisecond, Cold: time.Second, ColdFrom: 0.25, Fall: time.Second, FallOver: 1e6, Seed: 1}
+}
+
+func newField(t *testing.T, makes ...standin.Make) *field {
+	t.Helper()
+	f := &field{t: t, log: audit.NewLog(), list: filepath.Join(t.TempDir(), "workers.ini"), ended: make(chan error, 1)}
+	store := standin.NewStore(time.Millisecond, 8)
+	states := make([]string, len(makes))
+	for i, m := range makes {
+		s := standin.New(m, store, f.log)
+		if err := s.Start(false); err != nil {
+			t.Fatal(err)
+		}
+		f.servers = append(f.servers, s)
+		states[i] = "ready"
+	}
+	f.write(states...)
+	in, err := inifile.Read("test.ini", fmt.Appendf(nil, settings, f.list))
+	if err != nil {
+		t.Fatal(err)
+	}
+	told, err := ReadTold(in)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if f.g, err = New(told, zerolog.Nop()); err != nil {
+		t.Fatal(err)
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	f.stop = stop
+	go func() { f.ended <- f.g.Serve(ctx) }()
+	t.Cleanup(func() {
+		stop()
+		for _, s := range f.servers {
+			s.Stop()
+		}
+		if err := <-f.ended; err != nil {
+			t.Error(err)
+		}
+	})
+	for !f.g.ready.Load() {
+		time.Sleep(time.Millisecond)
+	}
+	return f
+}
+
+// write writes the list with the servers' states and tells the log.
+func (f *field) write(states ...string) {
+	var b strings.Builder
+	for i, state := range states {
+		fmt.Fprintf(&b, "[%d]\naddress = %s\nstate = %s\n", i, f.servers[i].Address(), state)
+	}
+	if err := os.WriteFile(f.list+".new", []byte(b.String()), 0o600); err != nil {
+		f.t.Fatal(err)
+	}
+	if err := os.Rename(f.list+".new", f.list); err != nil {
+		f.t.Fatal(err)
+	}
+	for i, state := range states {
+		f.log.Add(audit.Record{Kind: audit.Told, Server: i, Word: state})
+	}
+}
+
+// ask sends one job and notes both ends of it; the answer's word comes back.
+func (f *field) ask(job, function string, limit time.Duration) string {
+	ctx := context.Background()
+	c, err := rest.Dial(ctx, f.g.Address(), &rest.Usual)
+	if err != nil {
+		f.t.Error(err)
+		return ""
+	}
+	defer c.Close()
+	workload, _, _ := strings.Cut(function, "-")
+	rec := audit.Record{Kind: audit.Asked, Job: job, Effect: job, Workload: workload, Limit: f.log.Now() + limit.Microseconds()}
+	f.log.Add(rec)
+	p, _, err := c.Do(request(job, function, limit), time.Now().Add(limit+500*time.Millisecond))
+	if err != nil {
+		f.t.Errorf("job %s: %v", job, err)
+		return ""
+	}
+	rec.Kind, rec.Word = audit.Answered, gjson.GetBytes(p.Body, "answer").Str
+	if p.Status == 200 {
+		rec.Word = audit.Finished
+	}
+	f.log.Add(rec)
+	return rec.Word
+}
+
+func request(job, function string, limit time.Duration) *rest.Request {
+	return &rest.Request{Method: "POST", Target: "/v2/models/" + function + "/infer", Header: rest.Header{"Host": {"test"}},
+		Body: fmt.Appendf(nil, `{"id":%q,"parameters":{"timeout":%d,"effect":%q},"inputs":[]}`, job, limit.Microseconds(), job)}
+}
+
+// judge fails the test for each breach of a rule.
+func (f *field) judge() *audit.Verdict {
+	f.t.Helper()
+	v := audit.Judge(audit.Law{Grace: 500_000, Travel: 50_000, Zone: make([]string, len(f.servers)), Cell: make([]string, len(f.servers)),
+		Workloads: map[string]audit.Workload{"ticket": {RunOnce: true},
+			"booking": {Fingerprinted: true, Group: "fleet", Window: 600_000}}}, f.log.Records())
+	for _, r := range v.Rules {
+		for _, b := range r.Breaches {
+			f.t.Errorf("rule %d: %s", r.Number, b)
+		}
+	}
+	return v
+}
+
+func TestJobsAreFinished(t *testing.T) {
+	f := newField(t, usual(0), usual(1))
+	var wg sync.WaitGroup
+	for i := range 200 {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			time.Sleep(time.Duration(i) * 2 * time.Millisecond)
+			if word := f.ask(fmt.Sprint(i), fmt.Sprintf("forecast-%d", i%5), 2*time.Second); word != audit.Finished {
+				t.Errorf("job %d: %s", i, word)
+			}
+		}()
+	}
+	wg.Wait()
+	f.judge()
+}
+
+// A server that accepts and never replies: the fingerprinted job is answered once and in time, and is not sent again
+// past its window; the run-once job is killed, never pushed back.
+func TestSilentServers(t *testing.T) {
+	f := newField(t, usual(0), usual(1))
+	for i := range 20 { // the module learns what is usual
+		f.ask(fmt.Sprint("w", i), "forecast-1", time.Second)
+	}
+	for _, s := range f.servers {
+		s.Fail(standin.Faults{Silent: true})
+	}
+	var wg sync.WaitGroup
+	for i := range 10 {
+		for _, function := range []string{"booking-1", "ticket-1"} {
+			wg.Add(1)
+			go func() {
+				defer wg.Done()
+				word := f.ask(fmt.Sprint(function, i), function, 1500*time.Millisecond)
+				if function == "ticket-1" && word == audit.Finished {
+					t.Errorf("%s %d: %s from a silent server", function, i, word)
+				}
+			}()
+		}
+	}
+	wg.Wait()
+	if v := f.judge(); v.Killed == 0 || v.Executions < 21 {
+		t.Errorf("got %+v", v)
+	}
+}
+
+// Answers and time limits that meet within a millisecond leave one answer each.
+func TestReplyMeetsTheTimeLimit(t *testing.T) {
+	m := usual(0)
+	m.Work, m.Cores, m.Lanes = 50*time.Millisecond, 200, 200
+	f := newField(t, m)
+	f.ask("first", "forecast-1", 2*time.Second)
+	var wg sync.WaitGroup
+	for i := range 100 {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			// Work lasts 30 to 70 ms; 20 ms are kept free for the answer's way.
+			f.ask(fmt.Sprint(i), "forecast-1", 50*time.Millisecond+time.Duration(i)*400*time.Microsecond)
+		}()
+	}
+	wg.Wait()
+	if v := f.judge(); v.Finished == 0 || v.PushedBack == 0 {
+		t.Errorf("both ends were not met: %+v", v)
+	}
+}
+
+func TestDrainedServerGetsNothing(t *testing.T) {
+	f := newField(t, usual(0), usual(1))
+	for i := range 60 {
+		if i == 20 {
+			f.write("draining", "ready")
+		}
+		f.ask(fmt.Sprint(i), fmt.Sprintf("forecast-%d", i%7), time.Second)
+		time.Sleep(10 * time.Millisecond)
+	}
+	if v := f.judge(); v.Rules[2].Opportunities != 1 || v.Finished != 60 {
+		t.Errorf("got %+v", v)
+	}
+}
+
+// carried runs one sending over a link by hand.
+func (f *field) carried(s *sending) exchange {
+	l := &link{g: f.g, address: f.servers[0].Address()}
+	defer func() {
+		if c := l.client.Load(); c != nil {
+			c.Close()
+		}
+		s.cancel()
+	}()
+	return l.carry(s)
+}
+
+// A drain notice between choosing and writing, and a choice that grew old while the process stood still.
+func TestWithdrawnAndOldChoicesAreNeverSent(t *testing.T) {
+	f := newField(t, usual(0))
+	s := f.g.sending(1, 1_000_000)
+	s.request = request("1", "forecast-1", time.Second)
+	if !s.withdraw() {
+		t.Error("could not be withdrawn")
+	}
+	if e := f.carried(s); e.result != control.NeverSent {
+		t.Errorf("withdrawn: got %v", e.result)
+	}
+	s = f.g.sending(1, 1_000_000)
+	s.request = request("2", "forecast-1", time.Second)
+	s.chosen = time.Now().Add(-f.g.told.Grace)
+	if e := f.carried(s); e.result != control.NeverSent {
+		t.Errorf("old: got %v", e.result)
+	}
+	for _, r := range f.log.Records() {
+		if r.Kind == audit.Received {
+			t.Errorf("server got job %s", r.Job)
+		}
+	}
+}
+
+// raw is a model server written out by hand: it gives each connection to a function.
+func raw(t *testing.T, f func(n int, nc *net.TCPConn)) string {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var wg sync.WaitGroup
+	wg.Add(1)
+	go func() {
+		defer wg.Done()
+		for n := 0; ; n++ {
+			nc, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			wg.Add(1)
+			go func() {
+				defer wg.Done()
+				defer nc.Close()
+				f(n, nc.(*net.TCPConn))
+			}()
+		}
+	}()
+	t.Cleanup(func() { ln.Close(); wg.Wait() })
+	return ln.Addr().String()
+}
+
+// Connections closed while idle prove nothing ran; those closed once the job was on them don't.
+func TestIdleConnectionIsClosed(t *testing.T) {
+	f := newField(t)
+	closed := make(chan struct{}, 8)
+	address := raw(t, func(n int, nc *net.TCPConn) {
+		c := rest.NewConn(nc, &rest.Usual, nil)
+		if _, err := c.Next(); err != nil {
+			return
+		}
+		if n == 1 { // reads the job, and is gone
+			nc.SetLinger(0)
+			return
+		}
+		c.Answer(&rest.Response{Status: 200, Header: rest.Header{}, Body: []byte(`{}`)})
+		nc.Close()
+		closed <- struct{}{}
+	})
+	l := &link{g: f.g, address: address}
+	for i, want := range []control.Result{control.Finished, control.Reset, control.Finished} {
+		s := f.g.sending(1, 1_000_000)
+		s.request = request("1", "forecast-1", time.Second)
+		if e := l.carry(s); e.result != want {
+			t.Errorf("exchange %d: got %v, want %v", i, e.result, want)
+		}
+		s.cancel()
+		if want == control.Finished {
+			<-closed
+			for c := l.client.Load(); c != nil && !c.Stale(); {
+				time.Sleep(time.Millisecond)
+			}
+		}
+	}
+	if c := l.client.Load(); c != nil {
+		c.Close()
+	}
+}
+
+func TestRefusedConnectionIsNoConnection(t *testing.T) {
+	f := newField(t, usual(0))
+	f.servers[0].Stop()
+	s := f.g.sending(1, 1_000_000)
+	s.request = request("1", "forecast-1", time.Second)
+	if e := f.carried(s); e.result != control.NoConnection {
+		t.Errorf("got %v", e.result)
+	}
+}
+
+// talk opens a raw client connection.
+func (f *field) talk() (net.Conn, *bufio.Reader) {
+	nc, err := net.Dial("tcp", f.g.Address())
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	f.t.Cleanup(func() { nc.Close() })
+	nc.SetDeadline(time.Now().Add(5 * time.Second))
+	return nc, bufio.NewReader(nc)
+}
+
+func text(job, function string) string {
+	body := fmt.Sprintf(`{"id":%q,"inputs":[]}`, job)
+	return fmt.Sprintf("POST /v2/models/%s/infer HTTP/1.1\r\nHost: a\r\nContent-Length: %d\r\n\r\n%s", function, len(body), body)
+}
+
+func TestBadClients(t *testing.T) {
+	f := newField(t, usual(0))
+	half := text("h", "forecast-1")
+	for name, c := range map[string]struct{ in, want string }{
+		"half a body":     {half[:len(half)-3], "HTTP/1.1 408"},
+		"slow header":     {half[:20], "HTTP/1.1 408"},
+		"two framings":    {"POST /v2 HTTP/1.1\r\nHost: a\r\nContent-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n", "HTTP/1.1 400"},
+		"no JSON":         {strings.Replace(half, `{"id"`, `["id"`, 1), "HTTP/1.1 400"},
+		"no such call":    {"GET /v3 HTTP/1.1\r\nHost: a\r\n\r\n", "HTTP/1.1 404"},
+		"wrong method":    {"GET /v2/models/forecast-1/infer HTTP/1.1\r\nHost: a\r\n\r\n", "HTTP/1.1 405"},
+		"unknown to us":   {text("u", "unheard-1"), "HTTP/1.1 404"},
+		"load by clients": {"POST /v2/repository/models/forecast-1/load HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\n\r\n", "HTTP/1.1 405"},
+	} {
+		nc, r := f.talk()
+		io.WriteString(nc, c.in)
+		if line, err := r.ReadString('\n'); err != nil || !strings.HasPrefix(line, c.want) {
+			t.Errorf("%s: got %q, %v", name, line, err)
+		}
+	}
+	for _, rec := range f.log.Records() {
+		if rec.Kind == audit.Received {
+			t.Errorf("a server got job %q", rec.Job)
+		}
+	}
+}
+
+// A client that closes its own side gets its one answer at once; one that leaves has its execution called off.
+func TestClientLeaves(t *testing.T) {
+	f := newField(t, usual(0))
+	f.ask("first", "forecast-1", time.Second)
+	f.servers[0].Fail(standin.Faults{Silent: true})
+	nc, r := f.talk()
+	io.WriteString(nc, text("half", "ticket-1"))
+	for f.received("half") == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	begun := time.Now()
+	nc.(*net.TCPConn).CloseWrite()
+	line, err := r.ReadString('\n')
+	if err != nil || !strings.HasPrefix(line, "HTTP/1.1 504") || time.Since(begun) > 500*time.Millisecond {
+		t.Errorf("got %q, %v after %s", line, err, time.Since(begun))
+	}
+	for left := 1; left > 0; time.Sleep(time.Millisecond) { // no job stays in hand, though its server is silent
+		counted := make(chan int)
+		f.g.tell(func(control.Micros) { counted <- len(f.g.jobs) })
+		if left = <-counted; time.Since(begun) > 900*time.Millisecond {
+			t.Fatal("the execution was not called off before its limit")
+		}
+	}
+}
+
+func (f *field) received(job string) (n int) {
+	for _, r := range f.log.Records() {
+		if r.Kind == audit.Received && r.Job == job {
+			n++
+		}
+	}
+	return n
+}
+
+func TestPipelinedJobs(t *testing.T) {
+	f := newField(t, usual(0))
+	nc, r := f.talk()
+	io.WriteString(nc, text("a", "forecast-1")+text("b", "forecast-2")+text("c", "forecast-1"))
+	for _, want := range []string{"a", "b", "c"} {
+		for blank := false; !blank; {
+			line, err := r.ReadString('\n')
+			if err != nil {
+				t.Fatal(err)
+			}
+			blank = line == "\r\n"
+		}
+		body := make([]byte, len(`{"model_name":"m","id":"a","parameters":{"found":"began"},"outputs":[]}`))
+		n, _ := r.Read(body)
+		if got := gjson.GetBytes(body[:n], "id").Str; got != want {
+			t.Errorf("got %q, want %q", body[:n], want)
+		}
+	}
+}
+
+func TestIdleClientsAndBounds(t *testing.T) {
+	f := newField(t, usual(0))
+	for range 200 {
+		f.talk()
+	}
+	if word := f.ask("busy", "forecast-1", time.Second); word != audit.Finished {
+		t.Errorf("got %s", word)
+	}
+	for range 120 {
+		f.talk()
+	}
+	nc, r := f.talk()
+	defer nc.Close()
+	if line, err := r.ReadString('\n'); err != nil || !strings.HasPrefix(line, "HTTP/1.1 503") {
+		t.Errorf("beyond the bound: got %q, %v", line, err)
+	}
+}
+
+// Told to stop, it answers all that it holds and takes nothing more.
+func TestStopAnswersAll(t *testing.T) {
+	m := usual(0)
+	m.Work = 100 * time.Millisecond
+	f := newField(t, m)
+	var wg sync.WaitGroup
+	for i := range 8 {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			if word := f.ask(fmt.Sprint(i), "ticket-1", time.Second); word == "" {
+				t.Errorf("job %d got no answer", i)
+			}
+		}()
+	}
+	for len(f.log.Records()) < 10 {
+		time.Sleep(time.Millisecond)
+	}
+	f.stop()
+	wg.Wait()
+	if v := f.judge(); v.Finished == 0 {
+		t.Errorf("got %+v", v)
+	}
+	if _, err := net.Dial("tcp", f.g.Address()); err == nil {
+		t.Error("it still listens")
+	}
+}
+
+func TestBadListIsRefused(t *testing.T) {
+	f := newField(t, usual(0))
+	if err := os.WriteFile(f.list, []byte("[x]\naddress = nowhere\n"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	f.g.Refresh()
+	if word := f.ask("1", "forecast-1", time.Second); word != audit.Finished {
+		t.Errorf("got %s", word)
+	}
+}
+
+func TestResults(t *testing.T) {
+	job, order := &sending{job: &job{}}, &sending{}
+	for _, c := range []struct {
+		s      *sending
+		status int
+		want   control.Result
+	}{{job, 200, control.Finished}, {job, 400, control.Finished}, {job, 503, control.Full}, {job, 429, control.Full},
+		{job, 404, control.Missing}, {job, 500, control.Errored}, {order, 400, control.Errored}, {order, 200, control.Finished}} {
+		if got := resultOf(c.s, &rest.Response{Status: c.status}); got != c.want {
+			t.Errorf("%d: got %v, want %v", c.status, got, c.want)
+		}
+	}
+}
+
+func TestForwardedLeavesOutOneConnectionsFields(t *testing.T) {
+	h := forwarded(rest.Header{"Connection": {"close, x-hop"}, "X-Hop": {"1"}, "Te": {"x"}, "A": {"b"}, kserve.HeaderLength: {"3"}})
+	if len(h) != 2 || h.Get("A") != "b" || h.Get(kserve.HeaderLength) != "3" {
+		t.Errorf("got %v", h)
+	}
+}
--- a/internal/gateway/workers.go
+++ b/internal/gateway/workers.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"errors"
+	"net/textproto"
 	"strconv"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -284,8 +286,10 @@
 		}
 		to[k] = v
 	}
-	for _, named := range h["Connection"] {
-		delete(to, named)
+	for _, fields := range h["Connection"] {
+		for name := range strings.SplitSeq(fields, ",") {
+			delete(to, textproto.CanonicalMIMEHeaderKey(textproto.TrimString(name)))
+		}
 	}
 	return to
 }
--- a/internal/inifile/inifile.go
+++ b/internal/inifile/inifile.go
@@ -206,10 +206,14 @@
 		}
 		s := &Section{f, sec.Name(), sec}
 		if !f.used[sec.Name()] {
-			if sec.Name() == ini.DefaultSection {
-				s.Name = ""
+			if sec.Name() != ini.DefaultSection {
+				s.Fault("", "unknown section")
+				continue
+			}
+			s.Name = ""
+			for _, k := range sec.KeyStrings() {
+				s.Fault(k, "stands before any section")
 			}
-			s.Fault("", "unknown section")
 			continue
 		}
 		for _, k := range sec.KeyStrings() {
--- /dev/null
+++ b/internal/inifile/inifile_test.go
@@ -0,0 +1,52 @@
+package inifile
+
+import (
+	"errors"
+	"slices"
+	"testing"
+	"time"
+)
+
+func TestCheckTellsEveryFault(t *testing.T) {
+	f, err := Read("f.ini", []byte("stray = 1\n[a]\nn = x\nn = 2\nspan = 5\nword = c\n; comment\nextra = 1\n\n[b]\n[c]\nlate = 99\n"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	a := f.Section("a")
+	a.Int("n", 0, 0, 9)
+	a.Span("span", 0, 0, time.Minute)
+	a.OneOf("word", "a", "a", "b")
+	f.Section("c").Float("late", 0, 0, 1)
+	f.Section("d").Fault("", "missing")
+	var faults *Faults
+	if err := f.Check(); !errors.As(err, &faults) {
+		t.Fatalf("got %v", err)
+	}
+	want := []string{
+		`f.ini:0: [d]: missing`,
+		`f.ini:1: [] stray: stands before any section`,
+		`f.ini:4: n stands twice, first at line 3`,
+		`f.ini:5: [a] span: "5" is no span of time from 0s to 1m0s`,
+		`f.ini:6: [a] word: "c" is none of a, b`,
+		`f.ini:8: [a] extra: unknown key`,
+		`f.ini:10: [b]: unknown section`,
+		`f.ini:12: [c] late: "99" is no number from 0 to 1`,
+	}
+	if !slices.Equal(faults.Lines, want) {
+		t.Errorf("got %q", faults.Lines)
+	}
+}
+
+func TestFallbacks(t *testing.T) {
+	f, err := Read("f.ini", []byte("[a]\nn = 3\nyes = no\n"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	a := f.Section("a")
+	if a.Int("n", 1, 0, 9) != 3 || a.Int("m", 1, 0, 9) != 1 || a.Flag("yes", true) || !a.Flag("other", true) || f.Section("none").Exists() {
+		t.Error("values or fallbacks are wrong")
+	}
+	if err := f.Check(); err != nil {
+		t.Error(err)
+	}
+}
--- /dev/null
+++ b/internal/standin/standin_test.go
@@ -0,0 +1,131 @@
+package standin
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/tidwall/gjson"
+
+	"hollymast/internal/audit"
+	"hollymast/internal/rest"
+	"hollymast/kserve"
+)
+
+func start(t *testing.T, cold bool, change func(*Make)) *Server {
+	m := Make{Copies: 2, Lanes: 1, Cores: 4, Work: 5 * time.Millisecond, Queue: 8, Load: 20 * time.Millisecond, Loads: 2,
+		Window: time.Second, Cold: time.Minute, ColdFrom: 0.25, Fall: time.Second, FallOver: 1000}
+	change(&m)
+	s := New(m, NewStore(time.Millisecond, 2), audit.NewLog())
+	if err := s.Start(cold); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(s.Stop)
+	return s
+}
+
+// post sends one request; the status is 0 where the connection broke.
+func post(t *testing.T, s *Server, target, mark, body string) (int, string) {
+	c, err := rest.Dial(context.Background(), s.Address(), &rest.Usual)
+	if err != nil {
+		return 0, ""
+	}
+	defer c.Close()
+	p, _, err := c.Do(&rest.Request{Method: "POST", Target: target, Header: rest.Header{"Host": {"a"}, kserve.RepeatMark: {mark}},
+		Body: []byte(body)}, time.Now().Add(5*time.Second))
+	if err != nil {
+		return 0, ""
+	}
+	return p.Status, string(p.Body)
+}
+
+func infer(t *testing.T, s *Server, model, mark string) (int, string) {
+	status, body := post(t, s, "/v2/models/"+model+"/infer", mark, `{"id":"x","inputs":[]}`)
+	return status, gjson.Get(body, "parameters.found").Str
+}
+
+func (s *Server) count(k audit.Kind) (n int) {
+	for _, r := range s.log.Records() {
+		if r.Kind == k {
+			n++
+		}
+	}
+	return n
+}
+
+func TestLoadsRepeatsAndMemory(t *testing.T) {
+	s := start(t, false, func(*Make) {})
+	for i, want := range []struct{ model, mark, found string }{{"a", "1", "began"}, {"a", "2", "warm"}, {"a", "1", "warm"}, {"b", "3", "began"},
+		{"c", "4", "began"}, {"a", "5", "began"}} { // two copies fit: a had made way
+		if status, found := infer(t, s, want.model, want.mark); status != 200 || found != want.found {
+			t.Errorf("%d: got %d %q, want %q", i, status, found, want.found)
+		}
+	}
+	if b, d := s.count(audit.Began), s.count(audit.Dropped); b != 5 || d != 1 {
+		t.Errorf("%d ran, %d dropped", b, d)
+	}
+}
+
+func TestFaults(t *testing.T) {
+	s := start(t, false, func(*Make) {})
+	infer(t, s, "a", "0")
+	for i, c := range []struct {
+		f             Faults
+		status, began int
+	}{{Faults{ResetEre: 1}, 0, 0}, {Faults{ResetPost: 1}, 0, 1}, {Faults{Full: true}, 503, 0}, {Faults{Slow: 3}, 200, 1}} {
+		before := s.count(audit.Began)
+		s.Fail(c.f)
+		if status, _ := infer(t, s, "a", fmt.Sprint("f", i)); status != c.status || s.count(audit.Began)-before != c.began {
+			t.Errorf("%+v: got %d, %d ran", c.f, status, s.count(audit.Began)-before)
+		}
+	}
+}
+
+func TestColdServerFallsOver(t *testing.T) {
+	s := start(t, true, func(m *Make) { m.FallOver = 12 }) // 3 a second at its start
+	for i := range 4 {
+		infer(t, s, "a", fmt.Sprint(i))
+	}
+	if s.count(audit.FellOver) != 1 {
+		t.Error("it stands")
+	}
+	if status, _ := infer(t, s, "a", "9"); status != 0 {
+		t.Errorf("it answers %d after its fall", status)
+	}
+}
+
+func TestOrders(t *testing.T) {
+	s := start(t, false, func(m *Make) { m.OrdersOnly = true })
+	if status, _ := infer(t, s, "a", "1"); status != 404 {
+		t.Errorf("missing: got %d", status)
+	}
+	for _, want := range []struct{ n, status, stand int }{{1, 200, 1}, {2, 200, 2}, {1, 200, 2}, {3, 503, 0}} {
+		status, body := post(t, s, "/v2/repository/models/a/load", "", string(kserve.LoadBody(want.n)))
+		if status != want.status || status == 200 && kserve.Copies([]byte(body)) != want.stand {
+			t.Errorf("%d copies: got %d %s", want.n, status, body)
+		}
+	}
+	if status, found := infer(t, s, "a", "2"); status != 200 || found != "warm" {
+		t.Errorf("got %d %q", status, found)
+	}
+}
+
+func TestStopBreaksAndForgets(t *testing.T) {
+	s := start(t, false, func(m *Make) { m.Work = time.Minute })
+	done := make(chan int)
+	go func() {
+		status, _ := infer(t, s, "a", "1")
+		done <- status
+	}()
+	for s.count(audit.Began) == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	s.Stop()
+	if status := <-done; status != 0 {
+		t.Errorf("got %d", status)
+	}
+	if err := s.Start(true); err != nil || len(s.copies) != 0 {
+		t.Errorf("%v, %d copies", err, len(s.copies))
+	}
+}
