The module forgets idle functions and servers long gone, so a router may serve for months

Cause: functions and servers were never forgotten; a million distinct names would stay, and every upkeep walks them all. Change: beyond 16384 functions, those with nothing held or out and no copy believed loaded go, 2048 looked at an upkeep; a server goes ten minutes after it left the list.

--- a/control/control.go
+++ b/control/control.go
@@ -45,6 +45,9 @@
 		if !s.listed {
 			s.State = Gone
 		}
+		if s.State != Gone {
+			s.left = now
+		}
 	}
 }
 
@@ -657,6 +660,7 @@
 	}
 	r.pool(now)
 	r.examine(now)
+	r.tidy(now)
 	for _, f := range r.order {
 		r.check(now, f)
 	}
@@ -689,6 +693,44 @@
 	f.due = min(few, int(math.Ceil(float64(f.held-slots)/perLane))-loading)
 }
 
+// tidy forgets what is long idle, so that a router may serve for months, and names that nobody knows cost no more
+// than their jobs. Only beyond many functions does any go: one with nothing held or out, and no copy believed loaded
+// or coming, which loses only its execution times. A server goes long after it left the list.
+func (r *Router) tidy(now Micros) {
+	const many = 1 << 14  // some 20 MB; a check of all takes a fraction of a millisecond
+	const batch = 1 << 11 // looked at in one upkeep: more new names a second than a router takes jobs
+	if len(r.order) > many {
+		from := r.tidied % len(r.order)
+		to := min(len(r.order), from+batch)
+		kept := slices.DeleteFunc(r.order[from:to:to], func(f *function) bool {
+			gone := r.idle(now, f)
+			if gone {
+				delete(r.functions, f.id)
+			}
+			return gone
+		})
+		r.order = slices.Delete(r.order, from+len(kept), to)
+		r.tidied = from + len(kept)
+	}
+	const long = 600_000_000 // a roll or a break of the list is over by then
+	r.servers = slices.DeleteFunc(r.servers, func(s *server) bool {
+		if s.State != Gone || len(s.flights) > 0 || now < s.left+long {
+			return false
+		}
+		for _, f := range r.order {
+			f.instances = slices.DeleteFunc(f.instances, func(in *instance) bool { return in.server == s })
+		}
+		return true
+	})
+}
+
+// idle tells whether all that is known of a function may be forgotten.
+func (r *Router) idle(now Micros, f *function) bool {
+	return f.held == 0 && f.recent == 0 && !slices.ContainsFunc(f.instances, func(in *instance) bool {
+		return in.out > 0 || r.warm(now, in) || r.underWay(now, in)
+	})
+}
+
 // examine looks for servers that owe answers for longer than recent answers explain. Guards against
 // machines that hang or vanish without a word; where most servers owe alike the cause lies elsewhere, in
 // the store or the network, and none is suspected.
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -564,3 +564,70 @@
 		t.Errorf("first trial after %d, want four seconds", r.untilTrial(s))
 	}
 }
+
+// Names that nobody ever served are forgotten; what is held, out or believed loaded is not.
+func TestTidyForgetsIdleFunctions(t *testing.T) {
+	r := fleet(deployment(), 1)
+	const names = 1 << 16
+	for i := range names {
+		j := newJob(JobID(i))
+		j.Function = FunctionID(i)
+		r.function(j)
+	}
+	in := r.functions[1].at(r.servers[0], true)
+	in.copies, in.used = 1, at
+	r.functions[2].at(r.servers[0], true).out = 1
+	r.functions[3].held = 1
+	for range 100 {
+		r.tidy(at)
+	}
+	if len(r.order) != len(r.functions) || len(r.order) > 1<<14 {
+		t.Errorf("%d functions in order, %d known", len(r.order), len(r.functions))
+	}
+	for id := range FunctionID(4) {
+		if kept := r.functions[id] != nil; kept != (id > 0) {
+			t.Errorf("function %d: kept %t", id, kept)
+		}
+	}
+}
+
+func TestTidyForgetsServersLongGone(t *testing.T) {
+	r := fleet(deployment(), 2)
+	stands(r, 1, 0)
+	r.Listed(at, ListWhole, []Listing{{Server: 2, State: Ready}})
+	r.tidy(at + 60*second)
+	if len(r.servers) != 2 {
+		t.Error("forgotten after a minute")
+	}
+	r.servers[0].flights = []flight{{}}
+	r.tidy(at + 3600*second)
+	if len(r.servers) != 2 {
+		t.Error("forgotten with an execution out")
+	}
+	r.servers[0].flights = nil
+	r.tidy(at + 3600*second)
+	if len(r.servers) != 1 || len(r.functions[7].instances) != 0 {
+		t.Errorf("%d servers, %d instances", len(r.servers), len(r.functions[7].instances))
+	}
+}
+
+// BenchmarkDistinctFunctions is a router that is asked for a name nobody serves, a million times over.
+func BenchmarkDistinctFunctions(b *testing.B) {
+	told := deployment()
+	told.Workloads[0].TimeLimit = 4 * second
+	r := fleet(told, 12)
+	now := at
+	for i := range b.N {
+		now += 200 // 5000 jobs a second
+		j := newJob(JobID(i))
+		j.Function, j.Arrived, j.Patience = FunctionID(i), now, now+4*second
+		for p := r.Place(now, j); p.Verb == Send; {
+			p = r.After(now, j, Outcome{Execution: ExecutionID(len(j.Executions) - 1), Server: p.Server, Result: Missing, Took: 100})
+		}
+		r.Left(now, j)
+		if i%1000 == 0 {
+			r.Wait(now)
+		}
+	}
+	b.ReportMetric(float64(len(r.functions)), "functions")
+}
--- a/control/state.go
+++ b/control/state.go
@@ -30,6 +30,7 @@
 	rate      float64  // see pool
 	fresh     Micros
 	recent    []*function // of the last jobs taken
+	tidied    int         // functions looked at by tidy, in their order
 	watching  bool
 }
 
@@ -37,6 +38,7 @@
 type server struct {
 	Listing
 	listed     bool
+	left       Micros // when it was last on the list
 	heard      Micros // last sign that it works
 	flights    []flight
 	sent       []Micros // recent sends, while it is cold
