--- a/cmd/hmlab/main.go
+++ b/cmd/hmlab/main.go
@@ -16,7 +16,8 @@
 )
 
 type cli struct {
-	Day day `cmd:"" help:"Play a scripted bad day and judge the five rules from what crossed the sockets."`
+	Load load `cmd:"" help:"Measure a steady stream of jobs through a router against straight to the servers, in one run."`
+	Day  day  `cmd:"" help:"Play a scripted bad day and judge the five rules from what crossed the sockets."`
 }
 
 func main() {
@@ -62,21 +63,15 @@
 			*x.to = x.flag
 		}
 	}
-	if d.Router == "" {
-		self, err := os.Executable()
-		if err != nil {
-			return err
-		}
-		d.Router = filepath.Join(filepath.Dir(self), "hollymast")
-	}
-	if _, err := os.Stat(d.Router); err != nil {
-		return program.Use{Err: err}
+	router, err := routerProgram(d.Router)
+	if err != nil {
+		return err
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	ctx, cancel := context.WithTimeout(ctx, d.Most)
 	defer cancel()
-	res, err := lab.Run(ctx, script, d.Router)
+	res, err := lab.Run(ctx, script, router)
 	if res == nil {
 		return err
 	}
@@ -117,3 +112,53 @@
 		}
 	}
 }
+
+// routerProgram finds the router's program: the one named, else hollymast beside this one.
+func routerProgram(name string) (string, error) {
+	if name == "" {
+		self, err := os.Executable()
+		if err != nil {
+			return "", err
+		}
+		name = filepath.Join(filepath.Dir(self), "hollymast")
+	}
+	if _, err := os.Stat(name); err != nil {
+		return "", program.Use{Err: err}
+	}
+	return name, nil
+}
+
+type load struct {
+	Rates       []int         `default:"1000" help:"Jobs a second; several are measured one after another."`
+	Length      time.Duration `default:"10s" help:"Of each stream."`
+	Connections int           `default:"64" help:"Client connections."`
+	Servers     int           `default:"4" help:"Servers."`
+	Functions   int           `default:"20" help:"Functions."`
+	Idle        int           `default:"200" help:"Client connections that do nothing."`
+	Bytes       int           `default:"64" help:"Bytes of tensors a job."`
+	Router      string        `help:"The router's program; without, hollymast beside this one." type:"path"`
+}
+
+func (l load) Run() error {
+	router, err := routerProgram(l.Router)
+	if err != nil {
+		return err
+	}
+	if min(l.Connections, l.Servers, l.Functions) < 1 || l.Idle < 0 {
+		return program.Use{Err: fmt.Errorf("a count below one")}
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	fmt.Printf("%-20s %8s %8s %8s %8s %8s %8s %10s %10s\n", "path", "asked/s", "kept/s", "failed", "p50 us", "p99 us", "p99.9 us", "CPU us/job", "memory KB")
+	for _, rate := range l.Rates {
+		through, straight, err := lab.MeasureLoad(ctx, lab.Load{Rate: rate, Length: l.Length, Connections: l.Connections, Servers: l.Servers,
+			Functions: l.Functions, Idle: l.Idle, Bytes: l.Bytes}, router)
+		if err != nil {
+			return err
+		}
+		for _, m := range []lab.Measured{straight, through} {
+			fmt.Printf("%-20s %8d %8.0f %8d %8d %8d %8d %10.1f %10d\n", m.Path, rate, m.Achieved, m.Failed, m.P50, m.P99, m.P999, m.CPU, m.Memory)
+		}
+	}
+	return nil
+}
--- a/control/control.go
+++ b/control/control.go
@@ -420,6 +420,13 @@
 // number: guards against crowds on one copy. A copy beside others of ours goes to the server with the fewest,
 // and only where half of it is free: in a full fleet it would only take more from the rest.
 func (r *Router) loadTarget(now Micros, f *function, j *Job, beside bool) *server {
+	const few = 2 // jobs of ours behind loads on a server; with other routers' they fill its places for loads
+	takes := func(s *server) bool {
+		return now >= s.loadsAfter && s.waiting() < few && !(beside && s.room() < 0.5)
+	}
+	if !slices.ContainsFunc(r.servers, func(s *server) bool { return takes(s) && r.usable(now, s, j) }) {
+		return nil // bounds the work of a turn with many held jobs
+	}
 	cs := r.choices[:0]
 	for _, s := range r.servers {
 		if !r.usable(now, s, j) {
@@ -446,12 +453,11 @@
 		homes[i].key = -math.Log(even(mix(uint64(f.id), uint64(r.told.Number)+1), uint64(c.s.Server))) / c.weight
 	}
 	slices.SortFunc(homes, byKey)
-	const few = 2 // jobs of ours behind loads on a server; with other routers' they fill its places for loads
 	var best *server
 	fewest := math.MaxInt
 	for _, c := range cs {
 		s, copies := c.s, 0
-		if now < s.loadsAfter || s.waiting() >= few || beside && s.room() < 0.5 {
+		if !takes(s) {
 			continue
 		}
 		if in := f.at(s, false); in != nil {
--- /dev/null
+++ b/internal/core/bench_test.go
@@ -0,0 +1,61 @@
+package core
+
+import (
+	"testing"
+
+	"hollymast/control"
+)
+
+// quiet is an outlet that does nothing.
+type quiet struct{}
+
+func (quiet) Send(*control.Job, control.ExecutionID, control.ServerID, control.Micros) {}
+func (quiet) PushBack(control.JobID, control.Micros)                                   {}
+func (quiet) Kill(control.JobID)                                                       {}
+func (quiet) CallOff(control.JobID, control.ExecutionID)                               {}
+func (quiet) Order(*control.Job, control.Order)                                        {}
+func (quiet) Subscribe()                                                               {}
+func (quiet) Note(string)                                                              {}
+func (quiet) Alarm(control.Micros)                                                     {}
+
+// crowded gives a core that knows 80 servers and 1000 functions, each with a job. Two on each server wait behind
+// loads and the rest is held, as when a fleet comes back empty.
+func crowded() (*Core, control.Micros) {
+	told := control.Deployment{Routers: 3, Tick: 4000, MaxExecutions: 3, Cancels: true, Fall: 1_000_000, KeepAlive: 60_000_000,
+		Orders: true, LoadsOnMiss: true, Workloads: []control.Workload{{StartTarget: 1_000_000, TimeLimit: 60_000_000}}}
+	const functions, servers, held = 1000, 80, 500
+	c := New(control.Start(1, 1, told), quiet{})
+	list := make([]control.Listing, servers)
+	for i := range list {
+		list[i] = control.Listing{Server: control.ServerID(i + 1), State: control.Ready, Power: 1}
+	}
+	now := control.Micros(1_000_000_000)
+	c.Listed(now, control.ListWhole, list)
+	for i := range functions {
+		c.Arrived(now, control.Job{ID: control.JobID(i), Function: control.FunctionID(i), Lanes: 1, Arrived: now, Patience: now + 1<<50})
+	}
+	c.Turn(now)
+	for i := control.JobID(0); c.Held() > held; i++ {
+		c.Left(now, functions-1-i)
+		c.Turn(now)
+	}
+	return c, now
+}
+
+func BenchmarkTurn(b *testing.B) {
+	c, now := crowded()
+	for b.Loop() {
+		c.Turn(now)
+		now++ // so little that the upkeep seldom falls due
+	}
+	b.ReportMetric(float64(c.Held()), "held")
+}
+
+func BenchmarkUpkeep(b *testing.B) {
+	c, now := crowded()
+	for b.Loop() {
+		c.Turn(now)
+		now += 200_000 // falls due each time
+	}
+	b.ReportMetric(float64(c.Held()), "held")
+}
--- /dev/null
+++ b/internal/lab/load.go
@@ -0,0 +1,248 @@
+package lab
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"net"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"hollymast/internal/rest"
+)
+
+// Load is a steady stream of jobs of no work, through one router and straight to the same servers.
+type Load struct {
+	Rate        int // jobs a second
+	Length      time.Duration
+	Connections int
+	Servers     int
+	Functions   int
+	Idle        int // further client connections that do nothing
+	Bytes       int // of tensors a job
+}
+
+// Measured is what one stream met. Times are microseconds from when each job was due, if its connection was still busy
+// then, so that a stall counts for all jobs that it kept waiting; else from its sending.
+type Measured struct {
+	Path           string
+	Jobs, Failed   int64
+	P50, P99, P999 int64
+	CPU            float64 // microseconds of the router's processor time a job
+	Memory         int64   // kilobytes resident in the router at the end
+	Achieved       float64 // jobs a second that were kept up
+}
+
+// echo is a server that answers every job at once. It is kept apart from the stand-ins so that only wires are measured.
+func echo(ctx context.Context) (string, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", err
+	}
+	go func() {
+		<-ctx.Done()
+		l.Close()
+	}()
+	go func() {
+		for {
+			nc, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer nc.Close()
+				stop := context.AfterFunc(ctx, func() { nc.Close() })
+				defer stop()
+				c := rest.NewConn(nc, &rest.Usual, nil)
+				answer := &rest.Response{Status: 200, Header: rest.Header{"Content-Type": {"application/json"}},
+					Body: []byte(`{"model_name":"m","parameters":{"found":"warm"},"outputs":[]}`)}
+				for {
+					if _, err := c.Next(); err != nil || c.Answer(answer) != nil {
+						return
+					}
+				}
+			}()
+		}
+	}()
+	return l.Addr().String(), nil
+}
+
+// MeasureLoad runs the stream straight and through a router of the named program, in one run.
+func MeasureLoad(ctx context.Context, load Load, program string) (through, straight Measured, err error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	dir, err := os.MkdirTemp("", "hmlab-load-")
+	if err != nil {
+		return through, straight, err
+	}
+	defer os.RemoveAll(dir)
+	var servers []string
+	var list bytes.Buffer
+	for i := range load.Servers {
+		a, err := echo(ctx)
+		if err != nil {
+			return through, straight, err
+		}
+		servers = append(servers, a)
+		fmt.Fprintf(&list, "[%d]\naddress = %s\n", i, a)
+	}
+	address, err := freeAddress()
+	if err != nil {
+		return through, straight, err
+	}
+	r := &process{file: filepath.Join(dir, "router.ini")}
+	settings := fmt.Sprintf(`[router]
+listen = %s
+list = %s
+log = warn
+[servers]
+orders = no
+[bounds]
+per_server = 4096
+[workload any]
+start_target = 1s
+effect = restartable
+[function *]
+workload = any
+lanes = 1024
+`, address, filepath.Join(dir, "workers.ini"))
+	for name, text := range map[string]string{r.file: settings, filepath.Join(dir, "workers.ini"): list.String()} {
+		if err := os.WriteFile(name, []byte(text), 0o600); err != nil {
+			return through, straight, err
+		}
+	}
+	if err := r.start(program, dir); err != nil {
+		return through, straight, err
+	}
+	defer r.end(syscall.SIGKILL)
+	p := &play{addrs: []string{address}}
+	if err := p.awaitReady(ctx, 0); err != nil {
+		return through, straight, err
+	}
+	idle := make([]net.Conn, 0, load.Idle)
+	defer func() {
+		for _, nc := range idle {
+			nc.Close()
+		}
+	}()
+	for range load.Idle {
+		nc, err := net.Dial("tcp", address)
+		if err != nil {
+			return through, straight, err
+		}
+		idle = append(idle, nc)
+	}
+	warm := load
+	warm.Length, warm.Rate = time.Second, min(load.Rate, 1000)
+	if _, err := stream(ctx, warm, []string{address}); err != nil {
+		return through, straight, err
+	}
+	if straight, err = stream(ctx, load, servers); err != nil {
+		return through, straight, err
+	}
+	before := cpuTime(r.cmd.Process.Pid)
+	if through, err = stream(ctx, load, []string{address}); err != nil {
+		return through, straight, err
+	}
+	through.CPU = float64((cpuTime(r.cmd.Process.Pid) - before).Microseconds()) / float64(max(1, through.Jobs))
+	through.Memory = resident(r.cmd.Process.Pid)
+	through.Path, straight.Path = "through the router", "straight"
+	return through, straight, r.end(syscall.SIGTERM)
+}
+
+// stream sends a steady stream of jobs to addresses in turn.
+func stream(ctx context.Context, load Load, addresses []string) (Measured, error) {
+	total := int64(float64(load.Rate) * load.Length.Seconds())
+	var next, failed atomic.Int64
+	var wg sync.WaitGroup
+	var mu sync.Mutex
+	all := hdrhistogram.New(1, 60_000_000, 3)
+	tensors := strings.Repeat("1,", max(0, load.Bytes/2)) + "1"
+	begun := time.Now()
+	var firstErr error
+	for n := range load.Connections {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			h := hdrhistogram.New(1, 60_000_000, 3)
+			c, err := rest.Dial(ctx, addresses[n%len(addresses)], &rest.Usual)
+			if err != nil {
+				mu.Lock()
+				firstErr = err
+				mu.Unlock()
+				return
+			}
+			defer func() { c.Close() }()
+			for ctx.Err() == nil {
+				i := next.Add(1) - 1
+				if i >= total {
+					break
+				}
+				due := begun.Add(time.Duration(float64(i) / float64(load.Rate) * float64(time.Second)))
+				if d := time.Until(due); d > 0 {
+					time.Sleep(d)
+					due = time.Now() // a late waking is ours, not the path's
+				}
+				q := &rest.Request{Method: "POST", Target: "/v2/models/f" + strconv.FormatInt(i%int64(load.Functions), 10) + "/infer",
+					Header: rest.Header{"Host": {"load"}, "Content-Type": {"application/json"}},
+					Body:   []byte(`{"id":"1","parameters":{"timeout":10000000},"inputs":[{"name":"x","shape":[1],"datatype":"FP32","data":[` + tensors + `]}]}`)}
+				p, _, err := c.Do(q, time.Now().Add(20*time.Second))
+				if err != nil || p.Status != 200 {
+					failed.Add(1)
+				}
+				if err != nil {
+					c.Close()
+					if c, err = rest.Dial(ctx, addresses[n%len(addresses)], &rest.Usual); err != nil {
+						return
+					}
+					continue
+				}
+				h.RecordValue(max(1, time.Since(due).Microseconds()))
+			}
+			mu.Lock()
+			all.Merge(h)
+			mu.Unlock()
+		}()
+	}
+	wg.Wait()
+	return Measured{Jobs: all.TotalCount(), Failed: failed.Load(), P50: all.ValueAtQuantile(50), P99: all.ValueAtQuantile(99),
+		P999: all.ValueAtQuantile(99.9), Achieved: float64(all.TotalCount()) / time.Since(begun).Seconds()}, firstErr
+}
+
+// cpuTime is a process's time on processors, from /proc/PID/stat (proc(5): fields 14 and 15, in ticks of 10 ms).
+func cpuTime(pid int) time.Duration {
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
+	if err != nil {
+		return 0
+	}
+	fields := strings.Fields(string(text[bytes.LastIndexByte(text, ')')+1:]))
+	if len(fields) < 13 {
+		return 0
+	}
+	user, _ := strconv.ParseInt(fields[11], 10, 64)
+	system, _ := strconv.ParseInt(fields[12], 10, 64)
+	return time.Duration(user+system) * 10 * time.Millisecond
+}
+
+// resident is a process's resident memory in kilobytes.
+func resident(pid int) int64 {
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
+	if err != nil {
+		return 0
+	}
+	_, rest, _ := strings.Cut(string(text), "VmRSS:")
+	fields := strings.Fields(rest)
+	if len(fields) == 0 {
+		return 0
+	}
+	n, _ := strconv.ParseInt(fields[0], 10, 64)
+	return n
+}
