--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -400,6 +400,9 @@
 	j := s.job
 	j.out--
 	g.metrics.executed(o.Result)
+	if o.Found == control.BeganLoad {
+		g.metrics.loads.Inc()
+	}
 	if o.Result == control.Finished && !j.answered {
 		o.JobOver = true
 		g.core.Answered(now, j.id, o)
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -12,12 +12,13 @@
 )
 
 type metrics struct {
-	registry                 *prometheus.Registry
-	answers, executions      *prometheus.CounterVec
-	inHand, held, servers    prometheus.Gauge
-	orders, late, turnedAway prometheus.Counter
-	turn                     prometheus.Histogram
-	byResult                 [control.Missing + 1]prometheus.Counter
+	registry              *prometheus.Registry
+	answers, executions   *prometheus.CounterVec
+	inHand, held, servers prometheus.Gauge
+	orders, loads         prometheus.Counter
+	late, turnedAway      prometheus.Counter
+	turn                  prometheus.Histogram
+	byResult              [control.Missing + 1]prometheus.Counter
 }
 
 var resultNames = [...]string{"finished", "errored", "full", "timed out", "no connection", "reset", "cancelled",
@@ -39,12 +40,13 @@
 		held:       gauge("jobs_held", "Jobs that wait here for a copy."),
 		servers:    gauge("servers_ready", "Servers that the list calls ready."),
 		orders:     count("orders_total", "Orders to load."),
+		loads:      count("loads_total", "Executions that began a load."),
 		late:       count("late_answers_total", "Answers dropped because their job had its final answer."),
 		turnedAway: count("connections_turned_away_total", "Client connections beyond the bound."),
 		turn: prometheus.NewHistogram(prometheus.HistogramOpts{Name: "hollymast_turn_seconds", Help: "Time of a turn.",
 			Buckets: prometheus.ExponentialBuckets(10e-6, 2, 14)}), // 10 us to 80 ms
 	}
-	m.registry.MustRegister(m.answers, m.executions, m.inHand, m.held, m.servers, m.orders, m.late, m.turnedAway, m.turn,
+	m.registry.MustRegister(m.answers, m.executions, m.inHand, m.held, m.servers, m.orders, m.loads, m.late, m.turnedAway, m.turn,
 		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	for r := range m.byResult {
 		m.byResult[r] = m.executions.WithLabelValues(resultNames[r])
--- a/internal/lab/day.go
+++ b/internal/lab/day.go
@@ -91,7 +91,7 @@
 		for _, s := range p.servers {
 			s.Stop()
 		}
-		if err == nil && res.Kept() {
+		if err == nil && res.Kept() || ctx.Err() != nil {
 			os.RemoveAll(dir)
 		} else {
 			err = join(err, fmt.Sprintf("the routers' logs are kept in %s", dir))
@@ -100,9 +100,13 @@
 	if err := p.start(ctx); err != nil {
 		return nil, err
 	}
+	defer context.AfterFunc(ctx, func() { // told to stop: whoever waits for a router waits no longer
+		for _, r := range p.routers {
+			r.signal(syscall.SIGKILL)
+		}
+	})()
 	in, total := p.run(ctx)
 	for i, r := range p.routers {
-		p.log.Add(audit.Record{Kind: audit.Halted, Router: i})
 		if e := r.end(syscall.SIGTERM); e != nil && ctx.Err() == nil {
 			p.fail(fmt.Errorf("router %d did not end well when told to: %w", i, e))
 		}
