--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -10,6 +10,7 @@
 	"math/rand/v2"
 	"net"
 	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -386,8 +387,18 @@
 // Subscribe has the list looked at; it is followed in any case.
 func (g *Gateway) Subscribe() {}
 
-// Note writes a line in the log.
-func (g *Gateway) Note(text string) { g.log.Info().Msg(text) }
+// Note writes a line in the log, with the address of the server that it names by its id.
+func (g *Gateway) Note(text string) {
+	e := g.log.Info()
+	if words := strings.Fields(text); len(words) > 1 && words[0] == "server" {
+		if id, err := strconv.ParseUint(words[1], 16, 64); err == nil {
+			if s := g.fleet.Get(control.ServerID(id)); s != nil {
+				e = e.Str("server", s.Address)
+			}
+		}
+	}
+	e.Msg(text)
+}
 
 // Alarm sets the one timer.
 func (g *Gateway) Alarm(at control.Micros) {
