--- a/cmd/hmlab/main.go
+++ b/cmd/hmlab/main.go
@@ -97,9 +97,9 @@
 }
 
 func table(res *lab.Result) {
-	fmt.Printf("%-40s %8d\n%-40s %8d\n%-40s %8d\n%-40s %8d\n%-40s %8d\n%-40s %8d\n%-40s %8d\n%-40s %8.3f\n", "jobs (tries of clients)", res.Jobs,
+	fmt.Printf("%-40s %8d\n%-40s %8d\n%-40s %8d\n%-40s %8d\n%-40s %8d\n%-40s %8d\n%-40s %8d\n%-40s %8d\n%-40s %8.3f\n", "jobs (tries of clients)", res.Jobs,
 		"finished", res.Finished, "pushed back", res.PushedBack, "killed", res.Killed, "left by their clients", res.Left,
-		"excused: their router was halted", res.Excused, "repeats by a router", res.Repeats,
+		"excused: their router was halted", res.Excused, "refused as wrong", res.Other, "repeats by a router", res.Repeats,
 		"executions a job", float64(res.Executions)/float64(max(1, res.Jobs)))
 	for _, r := range res.Rules {
 		word := "kept"
@@ -136,6 +136,7 @@
 	Functions   int           `default:"20" help:"Functions."`
 	Idle        int           `default:"200" help:"Client connections that do nothing."`
 	Bytes       int           `default:"64" help:"Bytes of tensors a job."`
+	Strangers   int           `help:"Distinct functions that no server has, asked for in between; the stream is then measured again."`
 	Router      string        `help:"The router's program; without, hollymast beside this one." type:"path"`
 }
 
@@ -151,12 +152,12 @@
 	defer stop()
 	fmt.Printf("%-20s %8s %8s %8s %8s %8s %8s %10s %10s\n", "path", "asked/s", "kept/s", "failed", "p50 us", "p99 us", "p99.9 us", "CPU us/job", "memory KB")
 	for _, rate := range l.Rates {
-		through, straight, err := lab.MeasureLoad(ctx, lab.Load{Rate: rate, Length: l.Length, Connections: l.Connections, Servers: l.Servers,
-			Functions: l.Functions, Idle: l.Idle, Bytes: l.Bytes}, router)
+		measured, err := lab.MeasureLoad(ctx, lab.Load{Rate: rate, Length: l.Length, Connections: l.Connections, Servers: l.Servers,
+			Functions: l.Functions, Idle: l.Idle, Bytes: l.Bytes, Strangers: l.Strangers}, router)
 		if err != nil {
 			return err
 		}
-		for _, m := range []lab.Measured{straight, through} {
+		for _, m := range measured {
 			fmt.Printf("%-20s %8d %8.0f %8d %8d %8d %8d %10.1f %10d\n", m.Path, rate, m.Achieved, m.Failed, m.P50, m.P99, m.P999, m.CPU, m.Memory)
 		}
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -178,8 +178,11 @@
 		g.mu.Unlock()
 		g.turn(g.now(), batch)
 		clear(batch)
-		if g.stopping && len(g.jobs) == 0 && g.orders == 0 {
-			break
+		if g.stopping && len(g.jobs) == 0 {
+			if g.orders == 0 {
+				break
+			}
+			g.dropOrders()
 		}
 	}
 	g.log.Info().Msg("no job is left in hand")
@@ -239,6 +242,17 @@
 	})
 }
 
+// dropOrders stops waiting for answers to orders: with no job in hand they serve nobody here.
+func (g *Gateway) dropOrders() {
+	for _, p := range g.pools {
+		for s := range p.out {
+			if s.job == nil {
+				s.callOff()
+			}
+		}
+	}
+}
+
 func (g *Gateway) finish(stop context.CancelFunc) error {
 	close(g.ended)
 	stop()
--- a/internal/lab/day.go
+++ b/internal/lab/day.go
@@ -194,7 +194,7 @@
 		}
 		fmt.Fprintf(&b, "[function %s-*]\nworkload = %s\nlanes = %d\n", w.name, w.name, lanes)
 	}
-	return b.Bytes()
+	return []byte(strings.NewReplacer(p.day.mistold...).Replace(b.String()))
 }
 
 func zone(i int) string { return string(rune('a' + i%3)) }
@@ -522,6 +522,11 @@
 				return nil
 			}
 		}
+		select {
+		case <-p.routers[i].ended:
+			return fmt.Errorf("router %d ended before it was ready", i)
+		default:
+		}
 		if err := sleep(ctx, 10*time.Millisecond); err != nil {
 			return err
 		}
--- /dev/null
+++ b/internal/lab/lab_test.go
@@ -0,0 +1,87 @@
+package lab
+
+import (
+	"context"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+)
+
+// router builds the router's program.
+func router(t *testing.T) string {
+	t.Helper()
+	name := filepath.Join(t.TempDir(), "hollymast")
+	if out, err := exec.Command("go", "build", "-o", name, "hollymast/cmd/hollymast").CombinedOutput(); err != nil {
+		t.Fatalf("%v: %s", err, out)
+	}
+	return name
+}
+
+// Routers that are told wrong things break rules on the wire, and the judge must find each. Rule 1 can't be broken by
+// settings; its planted breaches are the auditor's own tests.
+func TestMistoldRoutersAreFound(t *testing.T) {
+	d := &Day{Seed: 1, Jobs: 1200, Length: 6 * time.Second, Routers: 2, Workers: 4, Functions: 5, Ration: true, Orders: true,
+		mistold: []string{"effect = run-once", "effect = restartable", "cold = 4s", "cold = 1ms", "start_target = 400ms", "start_target = 3s", "start_target = 300ms", "start_target = 3s",
+			"load_free = 6", "load_free = 600", "grace = 500ms", "grace = 10s",
+			"[workload forecast]", "[bounds]\nlist_every = 2s\n[workload forecast]"},
+		Troubles: []Trouble{{Kind: "reset_after", At: time.Second, Lasts: time.Second, Number: 0, Share: 0.5},
+			{Kind: "deploy", At: 500 * time.Millisecond, Lasts: 1500 * time.Millisecond, Number: 1},
+			{Kind: "crash", At: 2500 * time.Millisecond, Lasts: 300 * time.Millisecond, Number: -1}}}
+	res, err := Run(context.Background(), d, router(t))
+	if res == nil {
+		t.Fatal(err)
+	}
+	if err != nil { // names where the logs were kept
+		_, dir, _ := strings.Cut(err.Error(), "kept in ")
+		os.RemoveAll(strings.TrimSuffix(dir, ")"))
+	}
+	for _, r := range res.Rules[1:] {
+		if r.Count == 0 {
+			t.Errorf("rule %d, %s: %d chances, no breach found", r.Number, r.Name, r.Opportunities)
+		}
+	}
+}
+
+func TestStoppedDayEndsAtOnce(t *testing.T) {
+	program := router(t)
+	ctx, stop := context.WithTimeout(context.Background(), time.Second)
+	defer stop()
+	begun := time.Now()
+	_, err := Run(ctx, &Day{Seed: 1, Jobs: 100000, Length: time.Minute, Routers: 1, Workers: 2, Functions: 5}, program)
+	if err == nil || time.Since(begun) > 5*time.Second {
+		t.Errorf("got %v after %s", err, time.Since(begun))
+	}
+}
+
+func TestScheduleFollowsTheSeed(t *testing.T) {
+	d := &Day{Seed: 1, Jobs: 100, Length: time.Second, Routers: 3, Functions: 9,
+		Troubles: []Trouble{{Kind: "hot_key", Name: "x", Lasts: time.Second, Share: 1}}}
+	a, b := d.schedule(), d.schedule()
+	d.Seed = 2
+	c := d.schedule()
+	same := 0
+	for i := range a {
+		if a[i] != b[i] || a[i].function != "forecast-hot-x" || a[i].at > d.Length {
+			t.Fatalf("call %d: %+v, %+v", i, a[i], b[i])
+		}
+		if a[i].at == c[i].at {
+			same++
+		}
+	}
+	if same > 10 {
+		t.Errorf("%d calls alike with another seed", same)
+	}
+}
+
+func TestReadDayTellsFaults(t *testing.T) {
+	_, err := ReadDay("d.ini", []byte("[day]\njobs = 0\n[trouble x]\nkind = flood\nat = 19s\nlasts = 5s\n"))
+	if err == nil || strings.Count(err.Error(), "\n") != 2 {
+		t.Errorf("got %v", err)
+	}
+	if _, err := ReadDay("", nil); err != nil {
+		t.Errorf("the built-in day: %v", err)
+	}
+}
--- a/internal/lab/load.go
+++ b/internal/lab/load.go
@@ -17,6 +17,7 @@
 	"github.com/HdrHistogram/hdrhistogram-go"
 
 	"hollymast/internal/rest"
+	"hollymast/kserve"
 )
 
 // Load is a steady stream of jobs of no work, through one router and straight to the same servers.
@@ -26,8 +27,10 @@
 	Connections int
 	Servers     int
 	Functions   int
-	Idle        int // further client connections that do nothing
-	Bytes       int // of tensors a job
+	Idle        int    // further client connections that do nothing
+	Bytes       int    // of tensors a job
+	prefix      string // of functions' names
+	Strangers   int    // distinct functions that no server has, asked for before the stream is measured a second time
 }
 
 // Measured is what one stream met. Times are microseconds from when each job was due, if its connection was still busy
@@ -41,6 +44,9 @@
 	Achieved       float64 // jobs a second that were kept up
 }
 
+// strangers begins the names of functions that no server has.
+const strangers = "/strangers-"
+
 // echo is a server that answers every job at once. It is kept apart from the stand-ins so that only wires are measured.
 func echo(ctx context.Context) (string, error) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
@@ -65,7 +71,15 @@
 				answer := &rest.Response{Status: 200, Header: rest.Header{"Content-Type": {"application/json"}},
 					Body: []byte(`{"model_name":"m","parameters":{"found":"warm"},"outputs":[]}`)}
 				for {
-					if _, err := c.Next(); err != nil || c.Answer(answer) != nil {
+					q, err := c.Next()
+					if err != nil {
+						return
+					}
+					p := answer
+					if strings.Contains(q.Target, strangers) {
+						p = &rest.Response{Status: 404, Header: rest.Header{}, Body: kserve.Fault{Error: "no such model"}.Body()}
+					}
+					if c.Answer(p) != nil {
 						return
 					}
 				}
@@ -76,12 +90,12 @@
 }
 
 // MeasureLoad runs the stream straight and through a router of the named program, in one run.
-func MeasureLoad(ctx context.Context, load Load, program string) (through, straight Measured, err error) {
+func MeasureLoad(ctx context.Context, load Load, program string) (measured []Measured, err error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	dir, err := os.MkdirTemp("", "hmlab-load-")
 	if err != nil {
-		return through, straight, err
+		return nil, err
 	}
 	defer os.RemoveAll(dir)
 	var servers []string
@@ -89,14 +103,14 @@
 	for i := range load.Servers {
 		a, err := echo(ctx)
 		if err != nil {
-			return through, straight, err
+			return nil, err
 		}
 		servers = append(servers, a)
 		fmt.Fprintf(&list, "[%d]\naddress = %s\n", i, a)
 	}
 	address, err := freeAddress()
 	if err != nil {
-		return through, straight, err
+		return nil, err
 	}
 	r := &process{file: filepath.Join(dir, "router.ini")}
 	settings := fmt.Sprintf(`[router]
@@ -116,16 +130,16 @@
 `, address, filepath.Join(dir, "workers.ini"))
 	for name, text := range map[string]string{r.file: settings, filepath.Join(dir, "workers.ini"): list.String()} {
 		if err := os.WriteFile(name, []byte(text), 0o600); err != nil {
-			return through, straight, err
+			return nil, err
 		}
 	}
 	if err := r.start(program, dir); err != nil {
-		return through, straight, err
+		return nil, err
 	}
 	defer r.end(syscall.SIGKILL)
-	p := &play{addrs: []string{address}}
+	p := &play{addrs: []string{address}, routers: []*process{r}}
 	if err := p.awaitReady(ctx, 0); err != nil {
-		return through, straight, err
+		return nil, err
 	}
 	idle := make([]net.Conn, 0, load.Idle)
 	defer func() {
@@ -136,26 +150,45 @@
 	for range load.Idle {
 		nc, err := net.Dial("tcp", address)
 		if err != nil {
-			return through, straight, err
+			return nil, err
 		}
 		idle = append(idle, nc)
 	}
 	warm := load
 	warm.Length, warm.Rate = time.Second, min(load.Rate, 1000)
 	if _, err := stream(ctx, warm, []string{address}); err != nil {
-		return through, straight, err
+		return nil, err
 	}
-	if straight, err = stream(ctx, load, servers); err != nil {
-		return through, straight, err
+	straight, err := stream(ctx, load, servers)
+	if err != nil {
+		return nil, err
 	}
-	before := cpuTime(r.cmd.Process.Pid)
-	if through, err = stream(ctx, load, []string{address}); err != nil {
-		return through, straight, err
+	straight.Path = "straight"
+	pid := r.cmd.Process.Pid
+	through := func(path string, load Load) error {
+		before := cpuTime(pid)
+		m, err := stream(ctx, load, []string{address})
+		m.Path, m.Memory = path, resident(pid)
+		m.CPU = float64((cpuTime(pid) - before).Microseconds()) / float64(max(1, m.Jobs))
+		measured = append(measured, m)
+		return err
+	}
+	measured = append(measured, straight)
+	if err := through("through the router", load); err != nil {
+		return nil, err
+	}
+	if load.Strangers > 0 {
+		alien := load
+		alien.prefix, alien.Functions = strangers[1:], load.Strangers
+		alien.Length = time.Duration(float64(load.Strangers) / float64(load.Rate) * float64(time.Second))
+		if err := through("strangers", alien); err != nil {
+			return nil, err
+		}
+		if err := through("router, after them", load); err != nil {
+			return nil, err
+		}
 	}
-	through.CPU = float64((cpuTime(r.cmd.Process.Pid) - before).Microseconds()) / float64(max(1, through.Jobs))
-	through.Memory = resident(r.cmd.Process.Pid)
-	through.Path, straight.Path = "through the router", "straight"
-	return through, straight, r.end(syscall.SIGTERM)
+	return measured, r.end(syscall.SIGTERM)
 }
 
 // stream sends a steady stream of jobs to addresses in turn.
@@ -191,7 +224,7 @@
 					time.Sleep(d)
 					due = time.Now() // a late waking is ours, not the path's
 				}
-				q := &rest.Request{Method: "POST", Target: "/v2/models/f" + strconv.FormatInt(i%int64(load.Functions), 10) + "/infer",
+				q := &rest.Request{Method: "POST", Target: "/v2/models/" + load.prefix + "f" + strconv.FormatInt(i%int64(load.Functions), 10) + "/infer",
 					Header: rest.Header{"Host": {"load"}, "Content-Type": {"application/json"}},
 					Body:   []byte(`{"id":"1","parameters":{"timeout":10000000},"inputs":[{"name":"x","shape":[1],"datatype":"FP32","data":[` + tensors + `]}]}`)}
 				p, _, err := c.Do(q, time.Now().Add(20*time.Second))
--- a/internal/lab/script.go
+++ b/internal/lab/script.go
@@ -26,6 +26,7 @@
 	Ration    bool
 	Orders    bool // only orders load
 	Troubles  []Trouble
+	mistold   []string // pairs of settings and what routers are told instead: plants breaches
 }
 
 // Trouble is something that goes wrong for a time.
