--- a/kserve/kserve.go
+++ b/kserve/kserve.go
@@ -3,6 +3,7 @@
 package kserve
 
 import (
+	"bytes"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -160,17 +161,18 @@
 	if err != nil {
 		return a, err
 	}
-	if !gjson.ValidBytes(head) || len(head) == 0 || gjson.ParseBytes(head).Type != gjson.JSON {
-		return a, errors.New("the request is no JSON object")
+	fields, err := members(head)
+	if err != nil {
+		return a, err
 	}
-	fields := gjson.GetManyBytes(head, "id", "parameters.timeout", "inputs")
-	if a.ID = fields[0].String(); fields[0].Exists() && fields[0].Type != gjson.String {
+	if id := fields["id"]; id.Exists() && id.Type != gjson.String {
 		return a, errors.New("id is no string")
 	}
-	if !fields[2].IsArray() {
+	a.ID = fields["id"].Str
+	if !fields["inputs"].IsArray() {
 		return a, errors.New("inputs is no array")
 	}
-	if t := fields[1]; t.Exists() {
+	if t := fields["parameters"].Get("timeout"); t.Exists() {
 		if t.Type != gjson.Number || t.Num < 1 || t.Num > 1e12 || t.Num != float64(int64(t.Num)) {
 			return a, errors.New("the parameter timeout is no count of microseconds")
 		}
@@ -196,6 +198,30 @@
 	return a, nil
 }
 
+// members walks once over the request's object. Tensors are stepped over: whether they are well formed is for the server
+// to say. A member that stands twice could mean different things to us and to it.
+func members(head []byte) (map[string]gjson.Result, error) {
+	trimmed := bytes.TrimSpace(head)
+	if len(trimmed) < 2 || trimmed[0] != '{' || trimmed[len(trimmed)-1] != '}' {
+		return nil, errors.New("the request is no JSON object")
+	}
+	fields := map[string]gjson.Result{}
+	twice := false
+	gjson.ParseBytes(trimmed).ForEach(func(key, value gjson.Result) bool {
+		switch key.Str {
+		case "id", "parameters", "inputs":
+			_, known := fields[key.Str]
+			twice = twice || known
+			fields[key.Str] = value
+		}
+		return true
+	})
+	if twice {
+		return nil, errors.New("id, parameters or inputs stands twice")
+	}
+	return fields, nil
+}
+
 // jsonPart cuts the JSON off the binary tensors behind it.
 func jsonPart(h textproto.MIMEHeader, body []byte) ([]byte, error) {
 	v := h.Get(HeaderLength)
--- a/kserve/kserve_test.go
+++ b/kserve/kserve_test.go
@@ -59,6 +59,7 @@
 		"an array":          {nil, `[]`},
 		"no inputs":         {nil, `{"id":"a"}`},
 		"id":                {nil, `{"id":3,"inputs":[]}`},
+		"twice":             {nil, `{"inputs":[],"parameters":{},"parameters":{"timeout":5}}`},
 		"negative timeout":  {nil, `{"parameters":{"timeout":-1},"inputs":[]}`},
 		"fraction":          {nil, `{"parameters":{"timeout":1.5},"inputs":[]}`},
 		"text as timeout":   {nil, `{"parameters":{"timeout":"5"},"inputs":[]}`},
