Pretend servers keep idle copies for their told time

The stand-ins dropped any idle copy when they needed room, though routers are told that one stays; a belief in warm copies was thus never put to the test. Copies used within keep_alive now stay, and what would need their room is refused.

--- a/internal/lab/day.go
+++ b/internal/lab/day.go
@@ -33,6 +33,7 @@
 	coldFrom     = 0.25
 	fall         = time.Second
 	fallMultiple = 2.0
+	keepAlive    = 5 * time.Second
 	grace        = 500 * time.Millisecond
 	loadWindow   = 4 * time.Second
 	loadFree     = 6
@@ -140,7 +141,7 @@
 	d := p.day
 	for i := range d.Workers {
 		s := standin.New(standin.Make{Number: i, Copies: 40, Lanes: lanes, Cores: cores, Work: work, Queue: 40,
-			Load: 150 * time.Millisecond, Loads: 4, OrdersOnly: d.Orders, Window: 5 * time.Second, Cold: cold, ColdFrom: coldFrom, Fall: fall,
+			Load: 150 * time.Millisecond, Loads: 4, OrdersOnly: d.Orders, Window: 5 * time.Second, KeepAlive: keepAlive, Cold: cold, ColdFrom: coldFrom, Fall: fall,
 			FallOver: rate * fallMultiple, Seed: d.Seed}, p.store, p.log)
 		if err := s.Start(false); err != nil {
 			return err
@@ -180,7 +181,7 @@
 	var b bytes.Buffer
 	fmt.Fprintf(&b, "[router]\nlisten = %s\nnumber = %d\nrouters = %d\nzone = %s\nlist = %s\nseed = %d\nlog = info\n", p.addrs[i], i,
 		p.day.Routers, zone(i), filepath.Join(p.dir, "workers.ini"), p.day.Seed*64+uint64(i)+1)
-	fmt.Fprintf(&b, "[servers]\nkeep_alive = 1m\ncold_from = %g\ncold = %s\nfall = %s\nfall_multiple = %g\ngrace = %s\n", coldFrom, cold, fall, fallMultiple, grace)
+	fmt.Fprintf(&b, "[servers]\nkeep_alive = %s\ncold_from = %g\ncold = %s\nfall = %s\nfall_multiple = %g\ngrace = %s\n", keepAlive, coldFrom, cold, fall, fallMultiple, grace)
 	if p.day.Orders {
 		b.WriteString("loads_on_miss = no\n")
 	}
@@ -359,14 +360,7 @@
 	if d <= 0 {
 		return ctx.Err()
 	}
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
+	return standin.Pause(ctx, d)
 }
 
 // trouble makes one trouble and ends it.
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -74,15 +74,16 @@
 		d, closed := time.Duration(float64(s.Fetch)*s.Slow), s.Closed
 		s.mu.Unlock()
 		if !closed {
-			return pause(ctx, d)
+			return Pause(ctx, d)
 		}
-		if err := pause(ctx, 20*time.Millisecond); err != nil {
+		if err := Pause(ctx, 20*time.Millisecond); err != nil {
 			return err
 		}
 	}
 }
 
-func pause(ctx context.Context, d time.Duration) error {
+// Pause waits, or less where the context ends.
+func Pause(ctx context.Context, d time.Duration) error {
 	t := time.NewTimer(d)
 	defer t.Stop()
 	select {
@@ -351,7 +352,7 @@
 	}
 	add(audit.Began)
 	work := s.work(f.Slow)
-	err := pause(life, work)
+	err := Pause(life, work)
 	release()
 	done(true)
 	if err != nil || life.Err() != nil {
@@ -525,7 +526,8 @@
 	for held > s.m.Copies {
 		oldest := ""
 		for name, c := range s.copies {
-			if c.busy == 0 && c.loading == 0 && name != model && (oldest == "" || c.used.Before(s.copies[oldest].used) ||
+			idle := c.busy == 0 && c.loading == 0 && time.Since(c.used) >= s.m.KeepAlive
+			if idle && name != model && (oldest == "" || c.used.Before(s.copies[oldest].used) ||
 				c.used.Equal(s.copies[oldest].used) && name < oldest) {
 				oldest = name
 			}
@@ -550,7 +552,7 @@
 func (s *Server) load(life context.Context, c *copies, n int) {
 	err := s.store.fetch(life)
 	if err == nil {
-		err = pause(life, s.m.Load)
+		err = Pause(life, s.m.Load)
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/standin/standin_test.go
+++ b/internal/standin/standin_test.go
@@ -67,6 +67,19 @@
 	}
 }
 
+// A copy that was used just now stays, and what would need its room is refused.
+func TestIdleCopiesStayTheirTime(t *testing.T) {
+	s := start(t, false, func(m *Make) { m.KeepAlive = time.Minute })
+	for i, c := range []struct {
+		model  string
+		status int
+	}{{"a", 200}, {"b", 200}, {"c", 503}, {"a", 200}} {
+		if status, _ := infer(t, s, c.model, fmt.Sprint(i)); status != c.status {
+			t.Errorf("%d: got %d, want %d", i, status, c.status)
+		}
+	}
+}
+
 func TestFaults(t *testing.T) {
 	s := start(t, false, func(*Make) {})
 	infer(t, s, "a", "0")
