Recordings of turns, hmreplay and hmexplain on the same core

Staff must see what a router decided and why, without guessing. A router writes its turns to checksummed segments, each opening with a checkpoint of core and module in plain values; hmreplay plays them through this build and compares every decision and checkpoint; hmexplain tells from the module's own trace which condition ended each choice, what was believed of each server, and what one change would have made of it.

--- /dev/null
+++ b/cmd/hmexplain/main.go
@@ -0,0 +1,56 @@
+// Command hmexplain tells why a router decided as it did about one job, from a recording.
+package main
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"os"
+
+	"hollymast/control"
+	"hollymast/internal/explain"
+	"hollymast/internal/program"
+	"hollymast/internal/record"
+)
+
+type cli struct {
+	Paths  []string `arg:"" help:"Segments in order, or a folder of them." type:"path"`
+	Job    uint64   `required:"" help:"The job's number, as in the router's log."`
+	WhatIf string   `name:"what-if" help:"Ask the first decision again with one thing changed: drain, ready, slot or no-report, then = and a server's id in hex."`
+	JSON   bool     `name:"json" help:"Print JSON."`
+}
+
+func main() {
+	var c cli
+	program.Parse(&c, "hmexplain", "Tells from a recording why the decisions about one job came out as they did.")
+	program.Exit("hmexplain", c.run())
+}
+
+func (c cli) run() error {
+	files, err := record.Files(c.Paths)
+	if err != nil {
+		return program.Use{Err: err}
+	}
+	q := explain.Question{Job: control.JobID(c.Job)}
+	if c.WhatIf != "" {
+		change, err := explain.ReadChange(c.WhatIf)
+		if err != nil {
+			return program.Use{Err: err}
+		}
+		q.If = &change
+	}
+	answers, err := explain.Job(files, q)
+	if errors.Is(err, record.ErrNewer) {
+		return program.Use{Err: err}
+	}
+	if err != nil {
+		return err
+	}
+	if c.JSON {
+		return json.NewEncoder(os.Stdout).Encode(answers)
+	}
+	for _, a := range answers {
+		fmt.Print(a.Text())
+	}
+	return nil
+}
--- a/cmd/hmlab/main.go
+++ b/cmd/hmlab/main.go
@@ -34,6 +34,7 @@
 	Script  string        `help:"Script of the day (INI); without, the built-in bad day." type:"path"`
 	Router  string        `help:"The router's program; without, hollymast beside this one." type:"path"`
 	Orders  bool          `name:"orders-only" help:"Only orders load; without, jobs load what they miss on odd seeds and orders alone on even ones, unless a script is given."`
+	Record  string        `help:"Folder for the routers' recordings, one in it for each." type:"path"`
 	JSON    bool          `name:"json" help:"Print the result as JSON before the verdict."`
 	Most    time.Duration `default:"10m" help:"End the day after this time, whatever happens."`
 }
@@ -50,7 +51,7 @@
 	if err != nil {
 		return err
 	}
-	script.Seed = d.Seed
+	script.Seed, script.Record = d.Seed, d.Record
 	script.Orders = script.Orders || d.Orders || d.Script == "" && d.Seed%2 == 0
 	for _, x := range []struct {
 		flag int
--- /dev/null
+++ b/cmd/hmreplay/main.go
@@ -0,0 +1,66 @@
+// Command hmreplay plays recordings through the core of this build and compares every decision.
+package main
+
+import (
+	"errors"
+	"fmt"
+	"time"
+
+	"hollymast/control"
+	"hollymast/internal/program"
+	"hollymast/internal/record"
+	"hollymast/internal/replay"
+)
+
+type cli struct {
+	Paths []string `arg:"" help:"Segments in order, or a folder of them." type:"path"`
+	From  uint64   `help:"First turn to compare."`
+	Until uint64   `help:"Last turn; 0: the end."`
+	Job   uint64   `help:"Only decisions for this job."`
+	Show  bool     `help:"Print each decision."`
+}
+
+func main() {
+	var c cli
+	program.Parse(&c, "hmreplay", "Plays recordings of a router through this build and compares every decision.")
+	program.Exit("hmreplay", c.run())
+}
+
+func (c cli) run() error {
+	files, err := record.Files(c.Paths)
+	if err != nil {
+		return program.Use{Err: err}
+	}
+	r := replay.Range{From: c.From, Until: c.Until, Job: control.JobID(c.Job)}
+	if c.Show {
+		r.Shown = func(turn uint64, clock control.Micros, d record.Deed) { fmt.Printf("%d %d %s\n", turn, clock, d) }
+	}
+	begun := time.Now()
+	a, err := replay.Play(files, r)
+	took := time.Since(begun)
+	var different *replay.Difference
+	if err != nil && !errors.As(err, &different) {
+		if errors.Is(err, record.ErrNewer) {
+			err = program.Use{Err: err}
+		}
+		return err
+	}
+	played := time.Duration(a.Last-a.First) * time.Microsecond
+	fmt.Printf("%d segments, %d turns, %d decisions compared; %s of the router's time in %s, %.0f times as fast\n", a.Segments, a.Turns, a.Deeds,
+		played.Round(time.Millisecond), took.Round(time.Millisecond), played.Seconds()/took.Seconds())
+	if a.Stalls > 0 {
+		fmt.Printf("the router stood still %d times for over a second, for %s at the longest\n", a.Stalls, time.Duration(a.LongestStall)*time.Microsecond)
+	}
+	if a.Lost > 0 {
+		fmt.Printf("%d turns were lost by the recording\n", a.Lost)
+	}
+	for _, d := range a.Damaged {
+		fmt.Println(d)
+	}
+	if different != nil {
+		fmt.Println(different)
+		return errors.New("decisions differ")
+	}
+	fmt.Println("all decisions are the same")
+	return nil
+}
--- a/control/control.go
+++ b/control/control.go
@@ -164,7 +164,13 @@
 			r.taken = append(r.taken, now)
 		}
 	}
+	if r.trace != nil {
+		r.trace.begin(r, now, f, j)
+	}
 	p := r.place(now, f, j)
+	if r.trace != nil {
+		r.trace.end(p)
+	}
 	p.Again = min(p.Again, j.Patience-2*r.told.Tick) // rule 1, whatever the job waits for
 	if hold := p.Verb == Hold; hold != j.held {
 		if hold {
@@ -218,7 +224,7 @@
 
 func (r *Router) place(now Micros, f *function, j *Job) Placement {
 	if slices.ContainsFunc(j.Executions, func(e Execution) bool { return !e.Done }) {
-		return Placement{Verb: Nothing}
+		return r.ended(Placement{Verb: Nothing}, "an execution is out")
 	}
 	exec := r.exec(f, j)
 	whole := r.slack(j, exec)
@@ -228,13 +234,29 @@
 	}
 	last := j.Patience - exec/2 - 2*r.told.Tick // it can't end within its client's patience if sent later
 	tries := len(j.Executions)
-	late := tries > 0 && slack < 0 // to run it again would only feed what made it late
-	if late || j.surplus || now >= last || tries >= r.told.MaxExecutions || !r.mayRepeat(now, j, nil) {
-		return r.final(j)
+	if r.trace != nil {
+		r.trace.why.Slack, r.trace.why.Margin, r.trace.why.Last = slack, margin, last
+	}
+	over := ""
+	switch {
+	case tries > 0 && slack < 0: // to run it again would only feed what made it late
+		over = "it ran once and has no slack left"
+	case j.surplus:
+		over = "it is beyond its tenant's share, or shed"
+	case now >= last:
+		over = "it can't end within its client's patience"
+	case tries >= r.told.MaxExecutions:
+		over = "it had all its executions"
+	case !r.mayRepeat(now, j, nil):
+		over = "an earlier execution may have run"
+	}
+	if over != "" {
+		return r.ended(r.final(j), over)
 	}
 	p := Placement{Verb: Hold, Rank: j.Arrived + whole, Again: min(now+checkEvery, last)}
 	if f.blocked == now && slack >= margin && tries == 0 {
-		return p // one with less slack found no place: bounds the work of a turn with many held jobs
+		// One with less slack found no place: bounds the work of a turn with many held jobs.
+		return r.ended(p, "another job for its function found no place in this turn")
 	}
 	if in := r.fullest(now, f, j); in != nil {
 		// Guards against an overload in which least slack first serves every job just too late: where a
@@ -242,16 +264,16 @@
 		s, queue := in.server, in.server.strain.mean(now-1_000_000)*whole/1000
 		if r.warm(now, in) && slack < margin+queue && 2*s.busy >= int(s.size) {
 			f.delays.add(now, whole)
-			return r.final(j)
+			return r.ended(r.final(j), "the queue at its instance would make it late")
 		}
 		p := r.send(now, f, j, in)
 		in.used = max(in.used, now)
-		return p
+		return r.ended(p, "the fullest instance with room")
 	}
 	if f.due > 0 {
 		if s := r.loadTarget(now, f, j, true); s != nil {
 			f.due--
-			return r.load(now, f, j, s)
+			return r.ended(r.load(now, f, j, s), "the last check asked for another copy")
 		}
 	}
 	stands, comes := false, false
@@ -263,13 +285,21 @@
 	}
 	if stands && slack < margin && !comes {
 		f.delays.add(now, whole)
-		return r.final(j) // as above: its copies are there and full
+		return r.ended(r.final(j), "its copies are there and full, and it has no slack") // as above
 	} else if !stands && !comes {
 		if s := r.loadTarget(now, f, j, false); s != nil {
-			return r.load(now, f, j, s)
+			return r.ended(r.load(now, f, j, s), "no copy stands or comes")
 		}
 	}
 	f.blocked = now
+	return r.ended(p, "it waits for a copy")
+}
+
+// ended notes what ended a choice, where someone asks.
+func (r *Router) ended(p Placement, by string) Placement {
+	if r.trace != nil {
+		r.trace.why.Ended = by
+	}
 	return p
 }
 
@@ -306,9 +336,23 @@
 }
 
 // usable tells whether a job may go to a server at all.
-func (r *Router) usable(now Micros, s *server, j *Job) bool {
-	trial := !s.suspect || now >= s.trialAt // without trials a suspect with no copies would stay one
-	return s.State == Ready && now >= s.avoidUntil && trial && r.mayRepeat(now, j, s) && r.coldRoom(now, s)
+func (r *Router) usable(now Micros, s *server, j *Job) bool { return r.barred(now, s, j) == "" }
+
+// barred tells why a job may not go to a server; empty if it may.
+func (r *Router) barred(now Micros, s *server, j *Job) string {
+	switch {
+	case s.State != Ready:
+		return "drains or is gone"
+	case now < s.avoidUntil:
+		return "refused lately"
+	case s.suspect && now < s.trialAt: // without trials a suspect with no copies would stay one
+		return "is suspect, and no trial is due"
+	case !r.mayRepeat(now, j, s):
+		return "is outside the job's group or window"
+	case !r.coldRoom(now, s):
+		return "is cold, and its budget is used up"
+	}
+	return ""
 }
 
 // coldRoom keeps the fourth rule: all routers together may send a cold server a told multiple of its present
@@ -692,6 +736,9 @@
 			}
 		}
 	}
+	if r.trace != nil {
+		r.trace.check(Check{now, f.id, f.held, slots, loading, delay, target - exec, target, r.loadTime(f.last)})
+	}
 	if delay < target-exec || slots == 0 || Micros(f.held)*target/Micros(slots) < r.loadTime(f.last) {
 		return
 	}
--- a/control/state.go
+++ b/control/state.go
@@ -32,6 +32,7 @@
 	recent    []*function // of the last jobs taken
 	tidied    int         // functions looked at by tidy, in their order
 	watching  bool
+	trace     *Trace // nil but for tools
 }
 
 // server is what a router believes of one server.
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -2,12 +2,13 @@
 // module answers to an outlet: the bench's frames, the gateway's sockets. It decides nothing.
 //
 // A turn is: all that was heard since the last one (Arrived, Answered, Listed, Left, Loaded), then Turn, which asks
-// for the upkeep if due, then for every held job in the order of its rank, then sets the one alarm. What a turn does
-// follows from what it heard, the clock handed to it and the seed alone.
+// for the upkeep if due, then for every held job in the order of its rank, then sets the one alarm. All of a turn gets
+// one clock. What a turn does follows from what it heard, that clock and the seed alone.
 package core
 
 import (
 	"cmp"
+	"errors"
 	"fmt"
 	"slices"
 
@@ -44,10 +45,23 @@
 	Alarm(at control.Micros)
 }
 
+// Tape hears all that a core hears and does, in order, before the core acts on it.
+type Tape interface {
+	Outlet
+	Listed(kind control.ListKind, list []control.Listing)
+	Arrived(job control.Job)
+	Answered(id control.JobID, o control.Outcome)
+	Left(id control.JobID)
+	Loaded(s control.ServerID, f control.FunctionID, result control.Result, took control.Micros, copies int)
+	// Turned ends a turn, with all that was asked of the outlet in it.
+	Turned(now control.Micros)
+}
+
 // Core is one router's jobs in hand round its decider. It is not safe for use by several goroutines.
 type Core struct {
 	ask   Decider
 	out   Outlet
+	tape  Tape // nil: none
 	jobs  map[control.JobID]*inHand
 	held  []*inHand
 	spare []*inHand      // the other array for held, so that a turn allocates none
@@ -70,6 +84,26 @@
 	return &Core{ask: ask, out: out, jobs: map[control.JobID]*inHand{}}
 }
 
+// Record has a tape hear all from the next news on; nil ends it. Call it between turns only.
+func (c *Core) Record(t Tape) {
+	if b, taped := c.out.(both); taped {
+		c.out = b.out
+	}
+	if c.tape = t; t != nil {
+		c.out = both{c.out, t}
+	}
+}
+
+// Trace has a tool hear why the module decides as it does; the error tells that the decider is a baseline.
+func (c *Core) Trace(t *control.Trace) error {
+	module, ok := c.ask.(*control.Router)
+	if !ok {
+		return errors.New("this decider tells no reasons")
+	}
+	module.Trace(t)
+	return nil
+}
+
 // Jobs counts the jobs in hand, those included that are over and have executions out; Held those that wait here.
 func (c *Core) Jobs() int { return len(c.jobs) }
 
@@ -78,12 +112,18 @@
 
 // Listed passes on the list of servers.
 func (c *Core) Listed(now control.Micros, kind control.ListKind, list []control.Listing) {
+	if c.tape != nil {
+		c.tape.Listed(kind, list)
+	}
 	c.ask.Listed(now, kind, list)
 }
 
 // Loaded passes on the answer to an order.
 func (c *Core) Loaded(now control.Micros, s control.ServerID, f control.FunctionID, result control.Result,
 	took control.Micros, copies int) {
+	if c.tape != nil {
+		c.tape.Loaded(s, f, result, took, copies)
+	}
 	c.ask.Loaded(now, s, f, result, took, copies)
 }
 
@@ -92,6 +132,9 @@
 	if c.jobs[job.ID] != nil {
 		return fmt.Errorf("job %d came twice", job.ID)
 	}
+	if c.tape != nil {
+		c.tape.Arrived(job)
+	}
 	h := &inHand{job: job}
 	h.rank = c.ask.Rank(now, &h.job)
 	c.jobs[job.ID] = h
@@ -103,6 +146,9 @@
 // where the outcome itself gave the client its final answer. News of a job no longer in hand is passed over; the
 // result tells whether the job was still without a final answer.
 func (c *Core) Answered(now control.Micros, id control.JobID, o control.Outcome) bool {
+	if c.tape != nil {
+		c.tape.Answered(id, o)
+	}
 	h := c.jobs[id]
 	if h == nil || int(o.Execution) >= len(h.job.Executions) || h.job.Executions[o.Execution].Done {
 		return false
@@ -127,6 +173,9 @@
 
 // Left ends a job that its client no longer wants.
 func (c *Core) Left(now control.Micros, id control.JobID) {
+	if c.tape != nil {
+		c.tape.Left(id)
+	}
 	if h := c.jobs[id]; h != nil && !h.over {
 		c.ask.Left(now, &h.job)
 		c.end(h)
@@ -167,6 +216,9 @@
 		c.alarm = wake
 		c.out.Alarm(wake)
 	}
+	if c.tape != nil {
+		c.tape.Turned(now)
+	}
 }
 
 // carry does with a job what the module answered.
--- /dev/null
+++ b/internal/explain/explain.go
@@ -0,0 +1,248 @@
+// Package explain tells, from a recording, why the decisions about one job came out as they did. It plays the recording
+// through the same core and hears the module's own trace; it knows no condition itself.
+package explain
+
+import (
+	"errors"
+	"fmt"
+	"strconv"
+	"strings"
+
+	"hollymast/control"
+	"hollymast/internal/core"
+	"hollymast/internal/record"
+	"hollymast/internal/replay"
+)
+
+// Answer is one decision about a job.
+type Answer struct {
+	File  string
+	Turn  uint64
+	List  List // what the decision rests on
+	Check *control.Check
+	Why   control.Why
+	If    string `json:",omitempty"` // what was changed before it was asked again
+}
+
+// List names the list of servers that was known: when it was heard, and how many had been heard in the recording before.
+// Heard is 0 where it came before the recording began.
+type List struct {
+	Heard   control.Micros
+	Version int
+}
+
+// Change is something to be different before a decision is asked again.
+type Change struct {
+	What   string // drain, ready, slot or no-report
+	Server control.ServerID
+}
+
+// ReadChange reads a change as drain=SERVER, ready=SERVER, slot=SERVER or no-report=SERVER, the server's id in hex.
+func ReadChange(text string) (Change, error) {
+	what, id, ok := strings.Cut(text, "=")
+	n, err := strconv.ParseUint(id, 16, 64)
+	if !ok || err != nil {
+		return Change{}, fmt.Errorf("%q is no change: drain, ready, slot or no-report, then = and a server's id in hex", text)
+	}
+	switch what {
+	case "drain", "ready", "slot", "no-report":
+		return Change{what, control.ServerID(n)}, nil
+	}
+	return Change{}, fmt.Errorf("%q is none of drain, ready, slot, no-report", what)
+}
+
+// apply makes the change in a snapshot.
+func (c Change) apply(s *core.Snapshot) error {
+	for i := range s.Module.Servers {
+		v := &s.Module.Servers[i]
+		if v.Listing.Server != c.Server {
+			continue
+		}
+		switch c.What {
+		case "drain":
+			v.Listing.State = control.Draining
+		case "ready":
+			v.Listing.State, v.Suspect, v.AvoidUntil = control.Ready, false, 0
+		case "slot":
+			v.Size++
+		case "no-report":
+			v.Report, v.Reported = control.Report{}, 0
+		}
+		return nil
+	}
+	return fmt.Errorf("server %x is not known at that time", c.Server)
+}
+
+// Question says which decisions are meant.
+type Question struct {
+	Job control.JobID
+	If  *Change // asked again, at the job's first decision, with this changed
+}
+
+// ErrNoDecision tells that the recording holds no decision about the job.
+var ErrNoDecision = errors.New("the recording holds no decision about this job")
+
+// Job explains all decisions about a job.
+func Job(files []string, q Question) (answers []Answer, err error) {
+	for _, name := range files {
+		found, err := segment(name, q)
+		if err != nil && !errors.Is(err, record.ErrDamaged) {
+			return answers, err
+		}
+		answers = append(answers, found...)
+		if q.If != nil && len(answers) > 0 {
+			return answers[:min(2, len(answers))], nil
+		}
+	}
+	if len(answers) == 0 {
+		return nil, ErrNoDecision
+	}
+	return answers, nil
+}
+
+// listener gathers what the module tells about one job.
+type listener struct {
+	job     control.JobID
+	at      Answer
+	checks  map[control.FunctionID]control.Check
+	answers []Answer
+}
+
+func (l *listener) trace() *control.Trace {
+	return &control.Trace{
+		Checked: func(c control.Check) { l.checks[c.Function] = c },
+		Placed: func(w control.Why) {
+			if w.Job != l.job {
+				return
+			}
+			a := l.at
+			a.Why = w
+			if c, ok := l.checks[w.Function]; ok {
+				a.Check = &c
+			}
+			l.answers = append(l.answers, a)
+		}}
+}
+
+func segment(name string, q Question) ([]Answer, error) {
+	s, err := record.OpenSegment(name)
+	if err != nil {
+		return nil, err
+	}
+	defer s.Close()
+	p, err := replay.From(s.Checkpoint)
+	if err != nil {
+		return nil, fmt.Errorf("%s: %w", name, err)
+	}
+	l := &listener{job: q.Job, at: Answer{File: name}, checks: map[control.FunctionID]control.Check{}}
+	if err := p.Core.Trace(l.trace()); err != nil {
+		return nil, err
+	}
+	err = s.Turns(func(n uint64, t record.Turn) error {
+		l.at.Turn = n
+		for _, news := range t.Heard {
+			if news.Listed != nil {
+				l.at.List = List{t.Clock, l.at.List.Version + 1}
+			}
+		}
+		var before *core.Snapshot
+		if q.If != nil && arrives(t, q.Job) {
+			if before, err = p.Core.Snapshot(); err != nil {
+				return err
+			}
+		}
+		p.Turn(t)
+		if before != nil {
+			return l.again(before, t, *q.If)
+		}
+		return nil
+	})
+	if errors.Is(err, errAsked) {
+		err = nil
+	}
+	return l.answers, err
+}
+
+func arrives(t record.Turn, id control.JobID) bool {
+	for _, n := range t.Heard {
+		if n.Arrived != nil && n.Arrived.ID == id {
+			return true
+		}
+	}
+	return false
+}
+
+var errAsked = errors.New("asked again")
+
+// again plays one turn a second time with something changed, and ends.
+func (l *listener) again(before *core.Snapshot, t record.Turn, c Change) error {
+	if err := c.apply(before); err != nil {
+		return err
+	}
+	p, err := replay.From(before)
+	if err != nil {
+		return err
+	}
+	first := len(l.answers)
+	if err := p.Core.Trace(l.trace()); err != nil {
+		return err
+	}
+	p.Turn(t)
+	for i := first; i < len(l.answers); i++ {
+		l.answers[i].If = fmt.Sprintf("%s=%x", c.What, c.Server)
+	}
+	return errAsked
+}
+
+var verbs = [...]string{"nothing", "send", "hold", "push back", "kill"}
+
+// Text tells an answer in plain words.
+func (a Answer) Text() string {
+	w := a.Why
+	var b strings.Builder
+	put := func(format string, args ...any) { fmt.Fprintf(&b, format, args...) }
+	put("turn %d at %d us: %s", a.Turn, w.Now, verbs[w.Placement.Verb])
+	if w.Placement.Verb == control.Send {
+		put(" to server %x", w.Placement.Server)
+	}
+	if a.If != "" {
+		put(", if %s", a.If)
+	}
+	put("\n  because %s\n", w.Ended)
+	if a.List.Heard == 0 {
+		put("  list: as known when the recording began\n")
+	} else {
+		put("  list: number %d of the recording, heard at %d us\n", a.List.Version, a.List.Heard)
+	}
+	put("  execution time %d us, start target %d us, B %.2f, slack left %d us (margin %d us), load time %d us, held for the function %d\n",
+		w.Exec, w.Target, w.B, w.Slack, w.Margin, w.LoadTime, w.Held)
+	if c := a.Check; c != nil {
+		put("  last check at %d us: D_f %d us = held %d x target %d us / slots %d, against load time %d us; delay %d us against slack %d us; %d loads due\n",
+			c.Now, c.Df(), c.Held, c.Target, c.Slots, c.LoadTime, c.Delay, c.Slack, w.Due)
+	}
+	for _, s := range w.Servers {
+		put("  server %x: ", s.Server)
+		switch {
+		case s.Warm:
+			put("%d copies warm, %d of ours out, %d slots", s.Copies, s.Out, s.Slots)
+		case s.Coming:
+			put("%d copies loading, %d of ours out, %d slots", s.Loading, s.Out, s.Slots)
+		default:
+			put("no copy believed")
+		}
+		put("; window %.1f, busy %d, behind loads %d", s.Window, s.Busy, s.Waiting)
+		for _, x := range []struct {
+			is   bool
+			word string
+		}{{s.Suspect, "suspect"}, {s.Shunned, "shunned"}, {s.Cold, "cold"}, {s.Barred != "", "barred: " + s.Barred}} {
+			if x.is {
+				put("; %s", x.word)
+			}
+		}
+		if s.Fresh >= 0 {
+			put("; reported %d us ago: %.2f of its cores, %g loads", s.Fresh, s.Report.Util, s.Report.Loads)
+		}
+		put("\n")
+	}
+	return b.String()
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -21,6 +21,8 @@
 	"hollymast/control"
 	"hollymast/internal/core"
 	"hollymast/internal/fleet"
+	"hollymast/internal/program"
+	"hollymast/internal/record"
 	"hollymast/internal/rest"
 	"hollymast/kserve"
 )
@@ -37,6 +39,7 @@
 
 	// The turn's own; touched by no other goroutine.
 	core     *core.Core
+	writer   *record.Writer // nil: nothing is recorded
 	fleet    *fleet.Fleet
 	jobs     map[control.JobID]*job
 	last     control.JobID
@@ -109,6 +112,16 @@
 		}
 		g.listeners = append(g.listeners, l)
 	}
+	if told.RecordDir != "" {
+		head := record.Header{Build: program.Build(), Router: told.Deployment.Number, Life: g.run}
+		var err error
+		if g.writer, err = record.Open(told.RecordDir, told.Record, head, g.core.Snapshot, log); err != nil {
+			g.closeListeners()
+			return nil, err
+		}
+		g.core.Record(g.writer.Tape())
+		g.writer.Begin(g.epoch)
+	}
 	return g, nil
 }
 
@@ -256,6 +269,11 @@
 func (g *Gateway) finish(stop context.CancelFunc) error {
 	close(g.ended)
 	stop()
+	if g.writer != nil {
+		g.core.Record(nil)
+		g.writer.Close()
+		g.log.Info().Int64("bytes", g.writer.Written()).Int64("lost_turns", g.writer.Lost()).Msg("recording ended")
+	}
 	g.closeListeners()
 	g.closePools()
 	settled := make(chan struct{})
--- a/internal/gateway/told.go
+++ b/internal/gateway/told.go
@@ -10,6 +10,7 @@
 	"hollymast/control"
 	"hollymast/internal/fleet"
 	"hollymast/internal/inifile"
+	"hollymast/internal/record"
 )
 
 // Told is all that a router is told at its start.
@@ -29,6 +30,9 @@
 	AnswerMargin time.Duration // an answer's way to the client: kept free at the end of its time
 	OrderTime    time.Duration // for which the answer to an order to load is awaited
 
+	RecordDir string // folder for recordings; empty: none
+	Record    record.Bounds
+
 	Connections int // of clients
 	Jobs        int // in hand
 	Bytes       int // of bodies in hand
@@ -66,7 +70,8 @@
 
 // ReadTold reads a router's settings. A *inifile.Faults names every fault with file, line and key.
 func ReadTold(f *inifile.File) (*Told, error) {
-	const year = 365 * 24 * time.Hour
+	const day = 24 * time.Hour
+	const year = 365 * day
 	t := &Told{Tenants: map[string]control.TenantID{}}
 	d := &t.Deployment
 
@@ -135,6 +140,14 @@
 		b.Fault("list_every", "%s leaves too little of the grace of %s", t.ListEvery, t.Grace)
 	}
 
+	rec := f.Section("record")
+	t.RecordDir = rec.Text("folder", "")
+	t.Record = record.Bounds{Segment: int64(rec.Int("segment", 64<<20, 1<<10, 1<<40)), Total: int64(rec.Int("total", 1<<30, 1<<10, 1<<50)),
+		Age: rec.Span("age", 10*time.Minute, time.Second, day)}
+	if t.Record.Total < 2*t.Record.Segment {
+		rec.Fault("total", "less than two segments of %d bytes", t.Record.Segment)
+	}
+
 	t.workloads(f)
 	t.patterns(f)
 	for _, s := range f.Sections("tenant ") {
--- a/internal/lab/day.go
+++ b/internal/lab/day.go
@@ -188,6 +188,9 @@
 	if p.day.Ration {
 		fmt.Fprintf(&b, "load_window = %s\nload_free = %d\nload_share = %g\n", loadWindow, loadFree, loadShare)
 	}
+	if p.day.Record != "" {
+		fmt.Fprintf(&b, "[record]\nfolder = %s\nsegment = 1000000\nage = 5s\n", filepath.Join(p.day.Record, fmt.Sprintf("router-%d", i)))
+	}
 	for _, w := range mix {
 		fmt.Fprintf(&b, "[workload %s]\nstart_target = %s\ntime_limit = %s\neffect = %s\n", w.name, w.target, w.limit, w.effect)
 		if w.window > 0 {
--- a/internal/lab/script.go
+++ b/internal/lab/script.go
@@ -26,6 +26,7 @@
 	Ration    bool
 	Orders    bool // only orders load
 	Troubles  []Trouble
+	Record    string   // folder for the routers' recordings, one in it for each; empty: none
 	mistold   []string // pairs of settings and what routers are told instead: plants breaches
 }
 
--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -2,6 +2,8 @@
 package program
 
 import (
+	"crypto/sha256"
+	"encoding/hex"
 	"errors"
 	"fmt"
 	"io"
@@ -74,3 +76,22 @@
 	}
 	os.Exit(Found)
 }
+
+// Build identifies the program by its own bytes, so that two builds of one version can be told apart; empty where they
+// can't be read.
+func Build() string {
+	name, err := os.Executable()
+	if err != nil {
+		return ""
+	}
+	f, err := os.Open(name)
+	if err != nil {
+		return ""
+	}
+	defer f.Close()
+	h := sha256.New()
+	if _, err := io.Copy(h, f); err != nil {
+		return ""
+	}
+	return hex.EncodeToString(h.Sum(nil)[:8])
+}
--- /dev/null
+++ b/internal/record/format.go
@@ -0,0 +1,267 @@
+// Package record writes what a core heard and decided to segment files, and reads them back. A segment begins with a
+// header and a checkpoint of the whole state, so a replay can begin at any of them.
+//
+// A segment is the magic bytes, then frames: length and CRC-32C of the payload (four bytes each, big-endian), then the
+// payload, CBOR compressed with zstd. The first frame is a Header, the second a core.Snapshot, the others are Turns.
+// No body is ever recorded, and functions and tenants only by their ids.
+package record
+
+import (
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"hash/crc32"
+	"io"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/klauspost/compress/zstd"
+
+	"hollymast/control"
+	"hollymast/internal/core"
+)
+
+const magic = "hollymast recording\n"
+
+// Version is the format's. A reader refuses newer ones and reads all older ones.
+const Version = 1
+
+// Header begins a segment.
+type Header struct {
+	Version int
+	Build   string // of the program that wrote it
+	Router  int
+	Life    string         // tells one run of a router from its others
+	Segment int            // within the life, from 0
+	Turn    uint64         // the first turn in it
+	Clock   control.Micros // the router's time at the checkpoint
+	Gap     uint64         // turns lost before it
+}
+
+// Turn is one turn: what was heard, in order, and what was then asked of the outlet, in order.
+type Turn struct {
+	_     struct{} `cbor:",toarray"`
+	Clock control.Micros
+	Heard []News
+	Did   []Deed
+}
+
+// News is one thing heard; one of its parts is set.
+type News struct {
+	Arrived  *control.Job     `cbor:"1,keyasint,omitempty"`
+	Answered *control.Outcome `cbor:"2,keyasint,omitempty"`
+	Job      control.JobID    `cbor:"3,keyasint,omitempty"` // of Answered and Left
+	Listed   *Listed          `cbor:"4,keyasint,omitempty"`
+	Left     bool             `cbor:"5,keyasint,omitempty"`
+	Loaded   *Loaded          `cbor:"6,keyasint,omitempty"`
+}
+
+// Listed is a list of servers as heard.
+type Listed struct {
+	Kind control.ListKind
+	List []control.Listing
+}
+
+// Loaded is an answer to an order.
+type Loaded struct {
+	Server   control.ServerID
+	Function control.FunctionID
+	Result   control.Result
+	Took     control.Micros
+	Copies   int
+}
+
+// What a Deed does.
+const (
+	Send uint8 = iota + 1
+	PushBack
+	Kill
+	CallOff
+	Order
+	Subscribe
+	Note
+	Alarm
+)
+
+var words = [...]string{"nothing", "send", "push back", "kill", "call off", "order", "subscribe", "note", "alarm"}
+
+// Deed is one thing asked of the outlet.
+type Deed struct {
+	Verb     uint8               `cbor:"1,keyasint"`
+	Job      control.JobID       `cbor:"2,keyasint,omitempty"`
+	No       control.ExecutionID `cbor:"3,keyasint,omitempty"`
+	Server   control.ServerID    `cbor:"4,keyasint,omitempty"`
+	Time     control.Micros      `cbor:"5,keyasint,omitempty"` // allowed, to stay away, or of the alarm
+	Function control.FunctionID  `cbor:"6,keyasint,omitempty"`
+	Copies   int                 `cbor:"7,keyasint,omitempty"`
+	Text     string              `cbor:"8,keyasint,omitempty"`
+}
+
+// String tells a deed in plain words.
+func (d Deed) String() string {
+	word := words[0]
+	if int(d.Verb) < len(words) {
+		word = words[d.Verb]
+	}
+	switch d.Verb {
+	case Send:
+		return fmt.Sprintf("send job %d, execution %d, to server %x for at most %d us", d.Job, d.No, d.Server, d.Time)
+	case PushBack:
+		return fmt.Sprintf("push back job %d for %d us", d.Job, d.Time)
+	case Kill:
+		return fmt.Sprintf("kill job %d", d.Job)
+	case CallOff:
+		return fmt.Sprintf("call off execution %d of job %d", d.No, d.Job)
+	case Order:
+		return fmt.Sprintf("order server %x to hold %d copies of function %x for job %d", d.Server, d.Copies, d.Function, d.Job)
+	case Note:
+		return "note: " + d.Text
+	case Alarm:
+		return fmt.Sprintf("wake at %d", d.Time)
+	}
+	return word
+}
+
+// batch is the payload of a frame of turns.
+type batch struct {
+	_     struct{} `cbor:",toarray"`
+	First uint64
+	Turns []Turn
+}
+
+// Tape turns a core's calls into turns. It is the part of the writer and of the comparison that runs within a turn.
+type Tape struct {
+	turn Turn
+	End  func(Turn) // takes each finished turn
+}
+
+// Turned ends a turn.
+func (t *Tape) Turned(now control.Micros) {
+	t.turn.Clock = now
+	turn := t.turn
+	t.turn = Turn{}
+	t.End(turn)
+}
+
+func (t *Tape) heard(n News) { t.turn.Heard = append(t.turn.Heard, n) }
+func (t *Tape) did(d Deed)   { t.turn.Did = append(t.turn.Did, d) }
+
+// Listed, Arrived, Answered, Left and Loaded note what the core heard.
+func (t *Tape) Listed(kind control.ListKind, list []control.Listing) {
+	t.heard(News{Listed: &Listed{kind, list}})
+}
+
+// Arrived notes a new job.
+func (t *Tape) Arrived(job control.Job) { t.heard(News{Arrived: &job}) }
+
+// Answered notes the end of an execution.
+func (t *Tape) Answered(id control.JobID, o control.Outcome) {
+	t.heard(News{Job: id, Answered: &o})
+}
+
+// Left notes that a client left.
+func (t *Tape) Left(id control.JobID) { t.heard(News{Job: id, Left: true}) }
+
+// Loaded notes the answer to an order.
+func (t *Tape) Loaded(s control.ServerID, f control.FunctionID, result control.Result, took control.Micros, copies int) {
+	t.heard(News{Loaded: &Loaded{s, f, result, took, copies}})
+}
+
+// Send and the others note what the core asked of its outlet.
+func (t *Tape) Send(j *control.Job, no control.ExecutionID, to control.ServerID, allow control.Micros) {
+	t.did(Deed{Verb: Send, Job: j.ID, No: no, Server: to, Time: allow})
+}
+
+// PushBack notes a push back.
+func (t *Tape) PushBack(id control.JobID, stayAway control.Micros) {
+	t.did(Deed{Verb: PushBack, Job: id, Time: stayAway})
+}
+
+// Kill notes a kill.
+func (t *Tape) Kill(id control.JobID) { t.did(Deed{Verb: Kill, Job: id}) }
+
+// CallOff notes an execution called off.
+func (t *Tape) CallOff(id control.JobID, no control.ExecutionID) {
+	t.did(Deed{Verb: CallOff, Job: id, No: no})
+}
+
+// Order notes an order to load.
+func (t *Tape) Order(j *control.Job, o control.Order) {
+	t.did(Deed{Verb: Order, Job: j.ID, Server: o.Server, Function: o.Function, Copies: o.Copies})
+}
+
+// Subscribe notes the wish for changes of the list.
+func (t *Tape) Subscribe() { t.did(Deed{Verb: Subscribe}) }
+
+// Note notes a line for the log.
+func (t *Tape) Note(text string) { t.did(Deed{Verb: Note, Text: text}) }
+
+// Alarm notes the alarm.
+func (t *Tape) Alarm(at control.Micros) { t.did(Deed{Verb: Alarm, Time: at}) }
+
+var castagnoli = crc32.MakeTable(crc32.Castagnoli)
+
+// maxFrame bounds what a broken length can make a reader allocate: a checkpoint of many thousand functions fits.
+const maxFrame = 256 << 20
+
+// encoder and decoder are safe for use by several goroutines through EncodeAll and DecodeAll.
+var (
+	encoder, _ = zstd.NewWriter(nil, zstd.WithEncoderLevel(zstd.SpeedFastest), zstd.WithEncoderConcurrency(1))
+	decoder, _ = zstd.NewReader(nil, zstd.WithDecoderMaxMemory(maxFrame), zstd.WithDecoderConcurrency(1))
+)
+
+// appendFrame appends a frame that holds v.
+func appendFrame(b []byte, v any) ([]byte, error) {
+	plain, err := cbor.Marshal(v)
+	if err != nil {
+		return b, err
+	}
+	payload := encoder.EncodeAll(plain, nil)
+	b = binary.BigEndian.AppendUint32(b, uint32(len(payload)))
+	b = binary.BigEndian.AppendUint32(b, crc32.Checksum(payload, castagnoli))
+	return append(b, payload...), nil
+}
+
+// ErrDamaged is the end of what can be read of a segment, where more should follow.
+var ErrDamaged = errors.New("damaged or cut short")
+
+var decMode, _ = cbor.DecOptions{MaxArrayElements: 1 << 24, MaxMapPairs: 1 << 20}.DecMode()
+
+// readFrame reads a frame into v; io.EOF tells of an orderly end.
+func readFrame(r io.Reader, v any) error {
+	var head [8]byte
+	if _, err := io.ReadFull(r, head[:]); err == io.EOF {
+		return io.EOF
+	} else if err != nil {
+		return ErrDamaged
+	}
+	n := binary.BigEndian.Uint32(head[:])
+	if n > maxFrame {
+		return ErrDamaged
+	}
+	payload := make([]byte, 0, min(n, 1<<20)) // a broken length costs no more than what follows it
+	payload, err := appendAll(payload, r, int(n))
+	if err != nil || crc32.Checksum(payload, castagnoli) != binary.BigEndian.Uint32(head[4:]) {
+		return ErrDamaged
+	}
+	plain, err := decoder.DecodeAll(payload, nil)
+	if err != nil {
+		return ErrDamaged
+	}
+	if err := decMode.Unmarshal(plain, v); err != nil {
+		return fmt.Errorf("%w: %v", ErrDamaged, err)
+	}
+	return nil
+}
+
+func appendAll(b []byte, r io.Reader, n int) ([]byte, error) {
+	for len(b) < n {
+		at := len(b)
+		b = append(b, make([]byte, min(n-at, 1<<20))...)
+		if _, err := io.ReadFull(r, b[at:]); err != nil {
+			return nil, err
+		}
+	}
+	return b, nil
+}
+
+var _ core.Tape = (*Tape)(nil)
--- /dev/null
+++ b/internal/record/record_test.go
@@ -0,0 +1,106 @@
+package record
+
+import (
+	"errors"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"hollymast/control"
+	"hollymast/internal/core"
+)
+
+func state() (*core.Snapshot, error) {
+	return &core.Snapshot{Module: &control.Snapshot{}}, nil
+}
+
+// A disk that is too slow stops no turn: turns are dropped, and the next segment says how many.
+func TestSlowDiskLeavesAGapThatIsTold(t *testing.T) {
+	w := &Writer{work: make(chan item, depth), state: state, log: zerolog.Nop()} // nobody writes
+	w.Begin(1)
+	for i := range control.Micros(depth + 9) {
+		w.end(Turn{Clock: i})
+	}
+	if w.Lost() != 10 { // the beginning took a place too
+		t.Errorf("%d turns lost", w.Lost())
+	}
+	for range depth - 1 {
+		<-w.work
+	}
+	w.end(Turn{Clock: 99}) // there is room again
+	<-w.work
+	it := <-w.work
+	if it.header == nil || it.header.Gap != 11 || it.header.Turn != depth+10 || it.header.Clock != 99 {
+		t.Errorf("got %+v", it.header)
+	}
+	w.end(Turn{Clock: 100})
+	if it = <-w.work; it.number != depth+10 {
+		t.Errorf("got turn %d", it.number)
+	}
+}
+
+// A folder that can't be written to costs the recording, not the router; once it can, recording goes on.
+func TestFailingDisk(t *testing.T) {
+	dir := filepath.Join(t.TempDir(), "r")
+	w, err := Open(dir, Bounds{Segment: 1 << 20, Age: time.Hour, Total: 1 << 30}, Header{Life: "a"}, state, zerolog.Nop())
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := os.Remove(dir); err != nil {
+		t.Fatal(err)
+	}
+	w.Begin(1)
+	for w.Lost() == 0 {
+		w.end(Turn{Clock: 2})
+		time.Sleep(time.Millisecond)
+	}
+	if err := os.Mkdir(dir, 0o700); err != nil {
+		t.Fatal(err)
+	}
+	for end := time.Now().Add(10 * time.Second); w.Written() == 0; time.Sleep(time.Millisecond) {
+		if w.end(Turn{Clock: 3}); time.Now().After(end) {
+			t.Fatal("it was not taken up again")
+		}
+	}
+	w.Close()
+	files, err := Segments(dir)
+	if err != nil || len(files) == 0 {
+		t.Fatalf("%v, %v", files, err)
+	}
+	if s, err := OpenSegment(files[0]); err != nil {
+		t.Error(err)
+	} else {
+		s.Close()
+	}
+}
+
+func TestTotalIsBounded(t *testing.T) {
+	dir := t.TempDir()
+	w := &Writer{dir: dir, bounds: Bounds{Segment: 100, Total: 1000}, head: Header{Life: "a"}, log: zerolog.Nop()}
+	for i := range 20 {
+		if err := os.WriteFile(filepath.Join(dir, string(rune('a'+i))+"-000000.rec"), make([]byte, 100), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	w.makeRoom()
+	if files, _ := Segments(dir); len(files) != 9 {
+		t.Errorf("%d files are left", len(files))
+	}
+}
+
+func TestNewerVersionIsRefused(t *testing.T) {
+	b, err := appendFrame([]byte(magic), Header{Version: Version + 1})
+	if err != nil {
+		t.Fatal(err)
+	}
+	name := filepath.Join(t.TempDir(), "n.rec")
+	if err := os.WriteFile(name, b, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := OpenSegment(name); !errors.Is(err, ErrNewer) {
+		t.Errorf("got %v", err)
+	}
+}
--- /dev/null
+++ b/internal/replay/replay_test.go
@@ -0,0 +1,183 @@
+package replay
+
+import (
+	"errors"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"hollymast/control"
+	"hollymast/internal/core"
+	"hollymast/internal/record"
+)
+
+// traffic drives a recorded core: jobs come, run for a while on some server, and end in all ways.
+type traffic struct {
+	core *core.Core
+	now  control.Micros
+	rand uint64
+	out  []flight
+	last control.JobID
+}
+
+type flight struct {
+	job    control.JobID
+	no     control.ExecutionID
+	server control.ServerID
+}
+
+func (t *traffic) below(n uint64) uint64 { // SplitMix64's step
+	t.rand += 0x9e3779b97f4a7c15
+	x := (t.rand ^ t.rand>>30) * 0xbf58476d1ce4e5b9
+	return (x ^ x>>27) % n
+}
+
+func (t *traffic) Send(j *control.Job, no control.ExecutionID, to control.ServerID, _ control.Micros) {
+	t.out = append(t.out, flight{j.ID, no, to})
+}
+func (t *traffic) PushBack(control.JobID, control.Micros)     {}
+func (t *traffic) Kill(control.JobID)                         {}
+func (t *traffic) CallOff(control.JobID, control.ExecutionID) {}
+func (t *traffic) Order(*control.Job, control.Order)          {}
+func (t *traffic) Subscribe()                                 {}
+func (t *traffic) Note(string)                                {}
+func (t *traffic) Alarm(control.Micros)                       {}
+
+func (t *traffic) turn() {
+	t.now += control.Micros(1 + t.below(8000))
+	for range t.below(3) {
+		t.last++
+		t.core.Arrived(t.now, control.Job{ID: t.last, Workload: control.WorkloadID(t.below(2)), Function: control.FunctionID(t.below(9)), Lanes: 2,
+			Arrived: t.now, Patience: t.now + 2_000_000})
+	}
+	for len(t.out) > 8 {
+		i := t.below(uint64(len(t.out)))
+		x := t.out[i]
+		t.out[i] = t.out[len(t.out)-1]
+		t.out = t.out[:len(t.out)-1]
+		o := control.Outcome{Execution: x.no, Server: x.server, Took: control.Micros(10_000 + t.below(40_000)), Report: &control.Report{Util: 0.5}}
+		if t.below(5) == 0 {
+			o.Result = control.Result(t.below(9))
+		}
+		o.JobOver = o.Result == control.Finished
+		t.core.Answered(t.now, x.job, o)
+	}
+	if t.below(50) == 0 {
+		t.core.Left(t.now, t.last-control.JobID(t.below(5)))
+	}
+	t.core.Turn(t.now)
+}
+
+// recorded records some turns into segments of few turns and gives the files.
+func recorded(t *testing.T, turns int) []string {
+	t.Helper()
+	told := control.Deployment{Routers: 2, Tick: 4000, MaxExecutions: 3, MaxStayAway: 1_000_000, Cancels: true, Fall: 1_000_000, FallMultiple: 2,
+		KeepAlive: 1_000_000, Orders: true, LoadsOnMiss: true, Workloads: []control.Workload{{StartTarget: 300_000, TimeLimit: 2_000_000},
+			{StartTarget: 300_000, TimeLimit: 2_000_000, Effect: control.RunOnce}}}
+	tr := &traffic{now: 5_000_000, rand: 1}
+	tr.core = core.New(control.Start(tr.now, 1, told), tr)
+	dir := t.TempDir()
+	w, err := record.Open(dir, record.Bounds{Segment: 1, Age: time.Hour, Total: 1 << 30}, record.Header{Life: "a"}, tr.core.Snapshot, zerolog.Nop())
+	if err != nil {
+		t.Fatal(err)
+	}
+	tr.core.Record(w.Tape())
+	w.Begin(tr.now)
+	tr.core.Listed(tr.now, control.ListWhole, []control.Listing{{Server: 1, State: control.Ready, Power: 1}, {Server: 2, State: control.Ready, Power: 1}})
+	tr.core.Turn(tr.now)
+	for i := range turns {
+		tr.turn()
+		if i%(turns/3) == 0 {
+			time.Sleep(250 * time.Millisecond) // lets the writer ask for another segment
+		}
+	}
+	w.Close()
+	if w.Lost() > 0 {
+		t.Fatalf("%d turns were lost", w.Lost())
+	}
+	files, err := record.Segments(dir)
+	if err != nil || len(files) < 3 {
+		t.Fatalf("%d segments, %v", len(files), err)
+	}
+	return files
+}
+
+func TestReplayDecidesTheSame(t *testing.T) {
+	files := recorded(t, 1200)
+	a, err := Play(files, Range{})
+	if err != nil || a.Turns != 1201 || a.Deeds < 1200 || len(a.Damaged) > 0 {
+		t.Errorf("got %+v, %v", a, err)
+	}
+	if a, err = Play(files[1:], Range{}); err != nil || a.Turns == 0 || a.Turns >= 1201 {
+		t.Errorf("from the middle: %+v, %v", a, err)
+	}
+	if a, err = Play(files, Range{Until: 99}); err != nil || a.Turns != 100 {
+		t.Errorf("until: %+v, %v", a, err)
+	}
+}
+
+// A build that decides otherwise is found: here one constant that it was told differs.
+func TestPlantedDifferenceIsFound(t *testing.T) {
+	found := false
+	for _, name := range recorded(t, 1200) {
+		s, err := record.OpenSegment(name)
+		if err != nil {
+			t.Fatal(err)
+		}
+		s.Checkpoint.Module.Told.MaxStayAway++ // seen at a segment's first push back and no earlier
+		p, err := From(s.Checkpoint)
+		if err != nil {
+			t.Fatal(err)
+		}
+		var a Account
+		pushedBack, last := false, uint64(0)
+		err = s.Turns(func(n uint64, turn record.Turn) error {
+			for _, d := range turn.Did {
+				pushedBack = pushedBack || d.Verb == record.PushBack
+			}
+			last = n
+			return a.turn(p, Range{}, name, n, turn)
+		})
+		s.Close()
+		var d *Difference
+		if errors.As(err, &d) != pushedBack || pushedBack && (d.Turn != last || d.Job == 0 || d.Then == d.Now) {
+			t.Errorf("got %v at turn %d; pushed back %t", err, last, pushedBack)
+		}
+		found = found || pushedBack
+	}
+	if !found {
+		t.Error("no job was ever pushed back")
+	}
+}
+
+func TestDamage(t *testing.T) {
+	files := recorded(t, 1200)
+	text, err := os.ReadFile(files[1])
+	if err != nil {
+		t.Fatal(err)
+	}
+	whole, err := Play(files, Range{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	dir := t.TempDir()
+	for i, broken := range [][]byte{text[:len(text)-1], text[:len(text)/2], text[:30], append(text[:len(text)-20:len(text)-20], make([]byte, 20)...)} {
+		name := filepath.Join(dir, "broken.rec")
+		if err := os.WriteFile(name, broken, 0o600); err != nil {
+			t.Fatal(err)
+		}
+		a, err := Play([]string{files[0], name, files[2]}, Range{})
+		if err != nil || len(a.Damaged) != 1 || a.Turns >= whole.Turns || a.Turns == 0 {
+			t.Errorf("damage %d: %+v, %v", i, a, err)
+		}
+	}
+	if err := os.WriteFile(filepath.Join(dir, "other.rec"), []byte("something else, of some length"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := Play([]string{filepath.Join(dir, "other.rec")}, Range{}); err == nil {
+		t.Error("a file of another kind was played")
+	}
+}
