--- a/cmd/hmexplain/main.go
+++ b/cmd/hmexplain/main.go
@@ -14,6 +14,7 @@
 )
 
 type cli struct {
+	program.Common
 	Paths  []string `arg:"" help:"Segments in order, or a folder of them." type:"path"`
 	Job    uint64   `required:"" help:"The job's number, as in the router's log."`
 	WhatIf string   `name:"what-if" help:"Ask the first decision again with one thing changed: drain, ready, slot or no-report, then = and a server's id in hex."`
--- a/cmd/hmlab/main.go
+++ b/cmd/hmlab/main.go
@@ -16,6 +16,7 @@
 )
 
 type cli struct {
+	program.Common
 	Load load `cmd:"" help:"Measure a steady stream of jobs through a router against straight to the servers, in one run."`
 	Day  day  `cmd:"" help:"Play a scripted bad day and judge the five rules from what crossed the sockets."`
 }
--- a/cmd/hmreplay/main.go
+++ b/cmd/hmreplay/main.go
@@ -13,6 +13,7 @@
 )
 
 type cli struct {
+	program.Common
 	Paths []string `arg:"" help:"Segments in order, or a folder of them." type:"path"`
 	From  uint64   `help:"First turn to compare."`
 	Until uint64   `help:"Last turn; 0: the end."`
--- a/cmd/hollymast/main.go
+++ b/cmd/hollymast/main.go
@@ -22,6 +22,7 @@
 var example string
 
 type cli struct {
+	program.Common
 	Serve serve   `cmd:"" help:"Route jobs until told to stop."`
 	Check check   `cmd:"" help:"Tell all that is wrong with a settings file, and do nothing else."`
 	Show  showing `cmd:"" name:"example" help:"Print a commented settings file."`
--- a/control/control.go
+++ b/control/control.go
@@ -553,6 +553,9 @@
 	return true
 }
 
+// ProvesUnrun tells whether a result proves that the job did not run.
+func (r Result) ProvesUnrun() bool { return r == Full || r == NoConnection || r == NeverSent || r == Missing }
+
 // After takes in how an execution ended and answers what to do with its job.
 func (r *Router) After(now Micros, j *Job, o Outcome) Placement {
 	e := &j.Executions[o.Execution]
@@ -563,7 +566,7 @@
 	f, s := r.function(j), r.servers[i]
 	in := f.at(s, true)
 	e.Done = true
-	e.MayRun = o.Result != Full && o.Result != NoConnection && o.Result != NeverSent && o.Result != Missing
+	e.MayRun = !o.Result.ProvesUnrun()
 	in.out = max(0, in.out-1)
 	if e.warm {
 		s.busy--
--- a/internal/gateway/clients.go
+++ b/internal/gateway/clients.go
@@ -111,6 +111,9 @@
 	if admin && strings.HasPrefix(q.Target, "/metrics") {
 		return g.metrics.page(), false
 	}
+	if admin && strings.HasPrefix(q.Target, "/router/") {
+		return g.operate(q), false
+	}
 	call, err := kserve.ReadTarget(q.Method, q.Target)
 	switch {
 	case errors.Is(err, kserve.ErrMethod):
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -21,7 +21,6 @@
 	"hollymast/control"
 	"hollymast/internal/core"
 	"hollymast/internal/fleet"
-	"hollymast/internal/program"
 	"hollymast/internal/record"
 	"hollymast/internal/rest"
 	"hollymast/kserve"
@@ -38,17 +37,19 @@
 	metrics *metrics
 
 	// The turn's own; touched by no other goroutine.
-	core     *core.Core
-	writer   *record.Writer // nil: nothing is recorded
-	fleet    *fleet.Fleet
-	jobs     map[control.JobID]*job
-	last     control.JobID
-	pools    map[control.ServerID]*pool
-	timer    *time.Timer
-	due      control.Micros // when the timer fires
-	pruned   control.Micros
-	stopping bool
-	orders   int // without an answer
+	core       *core.Core
+	writer     *record.Writer             // nil: nothing is recorded
+	between    []func(now control.Micros) // to be called after the turn
+	recordings int
+	fleet      *fleet.Fleet
+	jobs       map[control.JobID]*job
+	last       control.JobID
+	pools      map[control.ServerID]*pool
+	timer      *time.Timer
+	due        control.Micros // when the timer fires
+	pruned     control.Micros
+	stopping   bool
+	orders     int // without an answer
 
 	// Shared.
 	mu        sync.Mutex
@@ -113,14 +114,10 @@
 		g.listeners = append(g.listeners, l)
 	}
 	if told.RecordDir != "" {
-		head := record.Header{Build: program.Build(), Router: told.Deployment.Number, Life: g.run}
-		var err error
-		if g.writer, err = record.Open(told.RecordDir, told.Record, head, g.core.Snapshot, log); err != nil {
+		if err := g.startRecording(g.epoch, told.RecordDir); err != nil {
 			g.closeListeners()
 			return nil, err
 		}
-		g.core.Record(g.writer.Tape())
-		g.writer.Begin(g.epoch)
 	}
 	return g, nil
 }
@@ -227,6 +224,11 @@
 		f(now)
 	}
 	g.core.Turn(now)
+	for _, f := range g.between {
+		f(now)
+	}
+	clear(g.between)
+	g.between = g.between[:0]
 	g.prune(now)
 	g.metrics.turn.Observe(time.Since(begun).Seconds())
 	g.metrics.inHand.Set(float64(len(g.jobs)))
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -20,6 +20,8 @@
 	"hollymast/control"
 	"hollymast/internal/audit"
 	"hollymast/internal/inifile"
+	"hollymast/internal/record"
+	"hollymast/internal/replay"
 	"hollymast/internal/rest"
 	"hollymast/internal/standin"
 	"hollymast/kserve"
@@ -528,19 +530,56 @@
 }
 
 func TestResults(t *testing.T) {
-	job, order := &sending{job: &job{}}, &sending{}
 	for _, c := range []struct {
-		s      *sending
+		order  bool
 		status int
 		want   control.Result
-	}{{job, 200, control.Finished}, {job, 400, control.Finished}, {job, 503, control.Full}, {job, 429, control.Full},
-		{job, 404, control.Missing}, {job, 500, control.Errored}, {order, 400, control.Errored}, {order, 200, control.Finished}} {
-		if got := resultOf(c.s, &rest.Response{Status: c.status}); got != c.want {
-			t.Errorf("%d: got %v, want %v", c.status, got, c.want)
+	}{{false, 200, control.Finished}, {false, 400, control.Finished}, {false, 503, control.Full}, {false, 429, control.Full},
+		{false, 404, control.Missing}, {false, 500, control.Errored}, {true, 400, control.Errored}, {true, 200, control.Finished}} {
+		if got := Conclude(&rest.Response{Status: c.status}, c.order); got.Result != c.want {
+			t.Errorf("%d: got %v, want %v", c.status, got.Result, c.want)
 		}
 	}
 }
 
+// Operators see the state, and start and end a recording, while jobs go on.
+func TestOperatorsAddress(t *testing.T) {
+	f := newField(t, usual(0))
+	f.ask("1", "forecast-1", time.Second)
+	dir := filepath.Join(t.TempDir(), "rec")
+	for _, c := range []struct {
+		method, target string
+		status         int
+	}{{"GET", "/router/state", 200}, {"GET", "/router/snapshot", 200}, {"POST", "/router/record/stop", 409},
+		{"POST", "/router/record/start?folder=" + dir, 200}, {"POST", "/router/record/start?folder=" + dir, 409}, {"POST", "/router/nothing", 404}} {
+		c2, err := rest.Dial(context.Background(), f.g.AdminAddress(), &rest.Usual)
+		if err != nil {
+			t.Fatal(err)
+		}
+		p, _, err := c2.Do(&rest.Request{Method: c.method, Target: c.target, Header: rest.Header{"Host": {"a"}}}, time.Now().Add(5*time.Second))
+		c2.Close()
+		if err != nil || p.Status != c.status {
+			t.Fatalf("%s: %+v, %v", c.target, p, err)
+		}
+		if strings.HasSuffix(c.target, "state") && gjson.GetBytes(p.Body, "Module.Servers.0.Listing.State").Int() != int64(control.Ready) {
+			t.Errorf("got %s", p.Body)
+		}
+	}
+	f.ask("2", "forecast-1", time.Second)
+	f.stop()
+	if err := <-f.ended; err != nil {
+		t.Fatal(err)
+	}
+	f.ended <- nil
+	files, err := record.Segments(dir)
+	if err != nil || len(files) == 0 {
+		t.Fatalf("%v, %v", files, err)
+	}
+	if a, err := replay.Play(files, replay.Range{}); err != nil || a.Deeds == 0 {
+		t.Errorf("%+v, %v", a, err)
+	}
+}
+
 func TestForwardedLeavesOutOneConnectionsFields(t *testing.T) {
 	h := forwarded(rest.Header{"Connection": {"close, x-hop"}, "X-Hop": {"1"}, "Te": {"x"}, "A": {"b"}, kserve.HeaderLength: {"3"}})
 	if len(h) != 2 || h.Get("A") != "b" || h.Get(kserve.HeaderLength) != "3" {
--- a/internal/gateway/workers.go
+++ b/internal/gateway/workers.go
@@ -163,21 +163,14 @@
 	}
 	p, progress, err := c.Do(s.request, s.deadline)
 	if err == nil && !p.Close {
-		return exchange{result: resultOf(s, p), response: p}
+		return exchange{result: resultOf(p, s.job == nil), response: p}
 	}
 	c.Close()
 	l.client.Store(nil)
-	switch {
-	case err == nil:
-		return exchange{result: resultOf(s, p), response: p}
-	case progress == rest.None:
-		return exchange{result: control.NeverSent}
-	case errors.Is(err, rest.ErrAborted):
-		return exchange{result: control.Cancelled}
-	case errors.Is(err, rest.ErrTimeout):
-		return exchange{result: control.TimedOut}
+	if err == nil {
+		return exchange{result: resultOf(p, s.job == nil), response: p}
 	}
-	return exchange{result: control.Reset}
+	return exchange{result: Broken(progress, err)}
 }
 
 var errWithdrawn = errors.New("withdrawn")
@@ -223,13 +216,11 @@
 		g.ordered(now, s, e.result, micros(e.took), copies)
 		return
 	}
-	o := control.Outcome{Execution: s.no, Server: s.to, Result: e.result, Took: micros(e.took)}
+	o := control.Outcome{Result: e.result}
 	if e.response != nil {
-		o.Found = foundOf(e.response)
-		if l, ok := kserve.ReadLoad(e.response.Header); ok {
-			o.Report = &control.Report{Util: l.Util, Loads: l.Loads, Pinned: l.Pinned}
-		}
+		o = Conclude(e.response, false)
 	}
+	o.Execution, o.Server, o.Took = s.no, s.to, micros(e.took)
 	g.executed(now, s, o, e.response)
 }
 
@@ -238,34 +229,6 @@
 	return s != nil && s.State != control.Gone
 }
 
-// resultOf names what a server's answer means. 429 and 503 promise that the job did not run, 404 that its function
-// was not there; other refusals of what the client asked are the function's own answer and pass to the client.
-func resultOf(s *sending, p *rest.Response) control.Result {
-	switch {
-	case p.Status == 429 || p.Status == 503:
-		return control.Full
-	case p.Status == 404:
-		return control.Missing
-	case p.Status >= 500 || p.Status == 408 || s.job == nil && p.Status >= 300:
-		return control.Errored
-	}
-	return control.Finished
-}
-
-func foundOf(p *rest.Response) control.Found {
-	switch kserve.Found(p.Header, p.Body) {
-	case "warm":
-		return control.FoundWarm
-	case "began":
-		return control.BeganLoad
-	case "joined":
-		return control.JoinedLoad
-	case "load_failed":
-		return control.LoadFailed
-	}
-	return control.Untold
-}
-
 // execution is the request of one execution: the client's own, with what is ours to say.
 func (g *Gateway) execution(j *job, no control.ExecutionID, allow control.Micros) *rest.Request {
 	h := forwarded(j.request.Header)
--- /dev/null
+++ b/internal/probe/probe.go
@@ -0,0 +1,137 @@
+// Package probe asks servers what a router would ask, and reads their answers with the router's own code.
+package probe
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"time"
+
+	"hollymast/control"
+	"hollymast/internal/gateway"
+	"hollymast/internal/rest"
+	"hollymast/kserve"
+)
+
+// Finding is what one server answered.
+type Finding struct {
+	Address string
+	Ready   bool
+	Says    string          `json:",omitempty"` // why not, or what is odd
+	Took    control.Micros  // of the readiness call, connecting included
+	Load    *control.Report `json:",omitempty"`
+	Stands  []kserve.Standing
+	Run     *Run `json:",omitempty"`
+}
+
+// Run is what became of a job that the probe was told to run.
+type Run struct {
+	Status  int
+	Result  string // as the module would be told
+	Found   control.Found
+	MayRun  bool // whether the module would have to take it as run
+	Took    control.Micros
+	Message string `json:",omitempty"`
+}
+
+// Ask is what to ask a server.
+type Ask struct {
+	Patience time.Duration // for each call
+	Model    string        // runs one job of it; empty: nothing is run
+	Body     []byte
+}
+
+// Server probes one server. It runs nothing unless a model is named.
+func Server(ctx context.Context, address string, ask Ask) Finding {
+	f := Finding{Address: address}
+	begun := time.Now()
+	dialling, cancel := context.WithTimeout(ctx, ask.Patience)
+	defer cancel()
+	c, err := rest.Dial(dialling, address, &rest.Usual)
+	if err != nil {
+		f.Says = "no connection: " + err.Error()
+		return f
+	}
+	defer func() { c.Close() }()
+	call := func(kind kserve.Kind, method string) *rest.Response {
+		p, progress, err := c.Do(&rest.Request{Method: method, Target: kserve.Call{Kind: kind}.Target(), Header: rest.Header{"Host": {address}}},
+			time.Now().Add(ask.Patience))
+		if err != nil {
+			f.Says = strings.TrimPrefix(f.Says+"; ", "; ") + gateway.ResultName(gateway.Broken(progress, err)) + ": " + err.Error()
+			c.Close()
+			if c2, err := rest.Dial(ctx, address, &rest.Usual); err == nil {
+				c = c2
+			}
+			return nil
+		}
+		if o := gateway.Conclude(p, false); o.Report != nil {
+			f.Load = o.Report
+		}
+		return p
+	}
+	if p := call(kserve.ServerReady, "GET"); p != nil {
+		f.Ready = p.Status == 200
+		if !f.Ready {
+			f.Says = fmt.Sprintf("status %d", p.Status)
+		}
+	}
+	f.Took = control.Micros(time.Since(begun).Microseconds())
+	if p := call(kserve.RepositoryIndex, "POST"); p != nil && p.Status == 200 {
+		if f.Stands, err = kserve.ReadIndex(p.Body); err != nil {
+			f.Says = "its index can't be read: " + err.Error()
+		}
+	}
+	if ask.Model != "" {
+		f.Run = run(c, address, ask)
+	}
+	return f
+}
+
+// run runs one job.
+func run(c *rest.Client, address string, ask Ask) *Run {
+	begun := time.Now()
+	p, progress, err := c.Do(&rest.Request{Method: "POST", Target: kserve.Call{Kind: kserve.Infer, Model: ask.Model}.Target(),
+		Header: rest.Header{"Host": {address}, "Content-Type": {"application/json"}}, Body: ask.Body}, time.Now().Add(ask.Patience))
+	r := &Run{Took: control.Micros(time.Since(begun).Microseconds())}
+	var result control.Result
+	if err != nil {
+		result, r.Message = gateway.Broken(progress, err), err.Error()
+	} else {
+		o := gateway.Conclude(p, false)
+		result, r.Status, r.Found = o.Result, p.Status, o.Found
+	}
+	r.Result, r.MayRun = gateway.ResultName(result), !result.ProvesUnrun()
+	return r
+}
+
+// Text tells a finding in plain words.
+func (f Finding) Text() string {
+	var b strings.Builder
+	word := "not ready"
+	if f.Ready {
+		word = "ready"
+	}
+	fmt.Fprintf(&b, "%s: %s after %d us", f.Address, word, f.Took)
+	if f.Says != "" {
+		fmt.Fprintf(&b, " (%s)", f.Says)
+	}
+	if l := f.Load; l != nil {
+		fmt.Fprintf(&b, "; %.2f of its cores in use, %g loads, %.2f pinned", l.Util, l.Loads, l.Pinned)
+	}
+	b.WriteString("\n")
+	for _, s := range f.Stands {
+		fmt.Fprintf(&b, "  %s %s\n", s.Name, strings.ToLower(s.State))
+	}
+	if r := f.Run; r != nil {
+		word := "it did not run"
+		if r.MayRun {
+			word = "it may have run"
+		}
+		fmt.Fprintf(&b, "  job: status %d after %d us; a router takes this as %s: %s", r.Status, r.Took, r.Result, word)
+		if r.Message != "" {
+			fmt.Fprintf(&b, " (%s)", r.Message)
+		}
+		b.WriteString("\n")
+	}
+	return b.String()
+}
--- /dev/null
+++ b/internal/probe/probe_test.go
@@ -0,0 +1,59 @@
+package probe
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"hollymast/internal/audit"
+	"hollymast/internal/standin"
+)
+
+func start(t *testing.T) (*standin.Server, *audit.Log) {
+	log := audit.NewLog()
+	s := standin.New(standin.Make{Copies: 4, Lanes: 1, Cores: 2, Work: time.Millisecond, Queue: 4, Load: time.Millisecond, Loads: 2, Window: time.Second},
+		standin.NewStore(time.Millisecond, 2), log)
+	if err := s.Start(false); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(s.Stop)
+	return s, log
+}
+
+func TestProbeRunsNothingUnlessTold(t *testing.T) {
+	s, log := start(t)
+	ask := Ask{Patience: time.Second}
+	if f := Server(context.Background(), s.Address(), ask); !f.Ready || f.Run != nil || f.Load == nil || len(f.Stands) != 0 {
+		t.Errorf("got %+v", f)
+	}
+	if n := len(log.Records()); n != 0 {
+		t.Errorf("the server saw %d things", n)
+	}
+	ask.Model, ask.Body = "m", []byte(`{"id":"p","inputs":[]}`)
+	if f := Server(context.Background(), s.Address(), ask); f.Run == nil || f.Run.Result != "finished" || !f.Run.MayRun || f.Run.Status != 200 {
+		t.Errorf("got %+v", f.Run)
+	}
+	ask.Model = ""
+	if f := Server(context.Background(), s.Address(), ask); len(f.Stands) != 1 || f.Stands[0].Name != "m" || f.Stands[0].State != "READY" {
+		t.Errorf("got %+v", f.Stands)
+	}
+}
+
+func TestProbeConcludesAsARouterWould(t *testing.T) {
+	s, _ := start(t)
+	ask := Ask{Patience: 200 * time.Millisecond, Model: "m", Body: []byte(`{"id":"p","inputs":[]}`)}
+	for _, c := range []struct {
+		f      standin.Faults
+		result string
+		mayRun bool
+	}{{standin.Faults{Full: true}, "full", false}, {standin.Faults{Silent: true}, "timed out", true}, {standin.Faults{ResetEre: 1}, "reset", true}} {
+		s.Fail(c.f)
+		if f := Server(context.Background(), s.Address(), ask); f.Run == nil || f.Run.Result != c.result || f.Run.MayRun != c.mayRun {
+			t.Errorf("%+v: got %+v", c.f, f.Run)
+		}
+	}
+	s.Stop()
+	if f := Server(context.Background(), s.Address(), ask); f.Ready || f.Run != nil || f.Says == "" {
+		t.Errorf("gone: got %+v", f)
+	}
+}
--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -40,9 +40,14 @@
 	return zerolog.New(w).Level(l).With().Timestamp().Str("program", name).Logger()
 }
 
+// Common is what all programs understand beside their own arguments.
+type Common struct {
+	Version kong.VersionFlag `help:"Print the build and end."`
+}
+
 // Parse reads the arguments into a struct of kong's; wrong ones end the program.
 func Parse(cli any, name, about string) *kong.Context {
-	parser, err := kong.New(cli, kong.Name(name), kong.Description(about),
+	parser, err := kong.New(cli, kong.Name(name), kong.Description(about), kong.Vars{"version": name + " " + Build()},
 		kong.Exit(func(code int) {
 			if code != Well {
 				code = WrongUse
--- a/internal/record/write.go
+++ b/internal/record/write.go
@@ -221,20 +221,34 @@
 		return nil, err
 	}
 	s := &segment{file: file, begun: time.Now()}
-	b := []byte(magic)
-	for _, v := range []any{it.header, it.checkpoint} {
-		if b, err = appendFrame(b, v); err != nil {
-			file.Close()
-			return nil, err
-		}
+	b, err := opening(it.header, it.checkpoint)
+	if err == nil {
+		err = w.put(s, b)
 	}
-	if err := w.put(s, b); err != nil {
+	if err != nil {
 		file.Close()
 		return nil, err
 	}
 	return s, nil
 }
 
+// opening is a segment's beginning.
+func opening(h *Header, s *core.Snapshot) (b []byte, err error) {
+	b = []byte(magic)
+	for _, v := range []any{h, s} {
+		if b, err = appendFrame(b, v); err != nil {
+			return nil, err
+		}
+	}
+	return b, nil
+}
+
+// Still is a segment of no turns: a core's state at one moment.
+func Still(h Header, now control.Micros, s *core.Snapshot) ([]byte, error) {
+	h.Version, h.Clock = Version, now
+	return opening(&h, s)
+}
+
 func (w *Writer) put(s *segment, b []byte) error {
 	n, err := s.file.Write(b)
 	s.size += int64(n)
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -5,9 +5,11 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"math/rand/v2"
 	"net"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -288,9 +290,31 @@
 		}
 		return s.ordered(life, call.Model, int(gjson.GetBytes(q.Body, "parameters.copies").Int()))
 	}
+	if call.Kind == kserve.RepositoryIndex {
+		return s.answer(200, s.index())
+	}
 	return s.answer(200, []byte(`{"live":true,"ready":true}`))
 }
 
+// index lists what stands loaded, as the model repository extension has it.
+func (s *Server) index() []byte {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	list := []kserve.Standing{}
+	for name, c := range s.copies {
+		state := "READY"
+		if c.n == 0 {
+			state = "LOADING"
+		}
+		if !c.failed {
+			list = append(list, kserve.Standing{Name: name, State: state})
+		}
+	}
+	slices.SortFunc(list, func(a, b kserve.Standing) int { return strings.Compare(a.Name, b.Name) })
+	b, _ := json.Marshal(list) // plain strings: can't fail
+	return b
+}
+
 func router(q *rest.Request) int {
 	via := q.Header.Get("Via")
 	n, _ := strconv.Atoi(via[strings.LastIndexByte(via, '-')+1:])
--- a/kserve/kserve.go
+++ b/kserve/kserve.go
@@ -304,3 +304,17 @@
 	Extensions []string `json:"extensions,omitempty"`
 	Platform   string   `json:"platform,omitempty"`
 }
+
+// Standing is one line of the answer to RepositoryIndex.
+type Standing struct {
+	Name    string `json:"name"`
+	Version string `json:"version,omitempty"`
+	State   string `json:"state,omitempty"` // READY, LOADING, UNAVAILABLE
+	Reason  string `json:"reason,omitempty"`
+}
+
+// ReadIndex reads the answer to RepositoryIndex.
+func ReadIndex(body []byte) (list []Standing, err error) {
+	err = json.Unmarshal(body, &list)
+	return list, err
+}
