--- a/cmd/hmexplain/main.go
+++ b/cmd/hmexplain/main.go
@@ -16,7 +16,8 @@
 type cli struct {
 	program.Common
 	Paths  []string `arg:"" help:"Segments in order, or a folder of them." type:"path"`
-	Job    uint64   `required:"" help:"The job's number, as in the router's log."`
+	Job    uint64   `help:"The job's number, as in the router's log."`
+	All    bool     `help:"Hold every explanation against the decision that was recorded, and print how many were alike."`
 	WhatIf string   `name:"what-if" help:"Ask the first decision again with one thing changed: drain, ready, slot or no-report, then = and a server's id in hex."`
 	JSON   bool     `name:"json" help:"Print JSON."`
 }
@@ -32,6 +33,16 @@
 	if err != nil {
 		return program.Use{Err: err}
 	}
+	if c.All {
+		alike, err := explain.All(files)
+		if err == nil {
+			fmt.Printf("%d decisions, all explained as they were recorded\n", alike)
+		}
+		return err
+	}
+	if c.Job == 0 {
+		return program.Use{Err: errors.New("name a job with --job, or ask for --all")}
+	}
 	q := explain.Question{Job: control.JobID(c.Job)}
 	if c.WhatIf != "" {
 		change, err := explain.ReadChange(c.WhatIf)
--- a/cmd/hmlab/main.go
+++ b/cmd/hmlab/main.go
@@ -138,6 +138,7 @@
 	Functions   int           `default:"20" help:"Functions."`
 	Idle        int           `default:"200" help:"Client connections that do nothing."`
 	Bytes       int           `default:"64" help:"Bytes of tensors a job."`
+	Recording   bool          `help:"Measure the stream again while the router records, and replay that."`
 	Strangers   int           `help:"Distinct functions that no server has, asked for in between; the stream is then measured again."`
 	Router      string        `help:"The router's program; without, hollymast beside this one." type:"path"`
 }
@@ -155,12 +156,15 @@
 	fmt.Printf("%-20s %8s %8s %8s %8s %8s %8s %10s %10s\n", "path", "asked/s", "kept/s", "failed", "p50 us", "p99 us", "p99.9 us", "CPU us/job", "memory KB")
 	for _, rate := range l.Rates {
 		measured, err := lab.MeasureLoad(ctx, lab.Load{Rate: rate, Length: l.Length, Connections: l.Connections, Servers: l.Servers,
-			Functions: l.Functions, Idle: l.Idle, Bytes: l.Bytes, Strangers: l.Strangers}, router)
+			Functions: l.Functions, Idle: l.Idle, Bytes: l.Bytes, Strangers: l.Strangers, Recording: l.Recording}, router)
 		if err != nil {
 			return err
 		}
 		for _, m := range measured {
 			fmt.Printf("%-20s %8d %8.0f %8d %8d %8d %8d %10.1f %10d\n", m.Path, rate, m.Achieved, m.Failed, m.P50, m.P99, m.P999, m.CPU, m.Memory)
+			if m.Recorded > 0 {
+				fmt.Printf("  recorded %.1f bytes a job, %d turns lost, replayed alike\n", m.Recorded, m.Lost)
+			}
 		}
 	}
 	return nil
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -100,6 +100,67 @@
 	return answers, nil
 }
 
+// All plays recordings and holds every explanation against the decision that was recorded. It gives how many were alike;
+// the error names the first that was not.
+func All(files []string) (alike uint64, err error) {
+	for _, name := range files {
+		err := func() error {
+			s, err := record.OpenSegment(name)
+			if err != nil {
+				return err
+			}
+			defer s.Close()
+			p, err := replay.From(s.Checkpoint)
+			if err != nil {
+				return fmt.Errorf("%s: %w", name, err)
+			}
+			var whys []control.Why
+			if err := p.Core.Trace(&control.Trace{Placed: func(w control.Why) {
+				if w.Placement.Verb != control.Nothing && w.Placement.Verb != control.Hold {
+					whys = append(whys, w)
+				}
+			}}); err != nil {
+				return err
+			}
+			return s.Turns(func(n uint64, t record.Turn) error {
+				whys = whys[:0]
+				p.Turn(t)
+				i := 0
+				for _, d := range t.Did {
+					if d.Verb != record.Send && d.Verb != record.PushBack && d.Verb != record.Kill {
+						continue
+					}
+					if i >= len(whys) || !fits(whys[i], d) {
+						return fmt.Errorf("%s: turn %d: recorded is %q, and the explanation says otherwise", name, n, d)
+					}
+					i++
+					alike++
+				}
+				if i < len(whys) {
+					return fmt.Errorf("%s: turn %d: job %d is explained, but no decision was recorded", name, n, whys[i].Job)
+				}
+				return nil
+			})
+		}()
+		if err != nil && !errors.Is(err, record.ErrDamaged) {
+			return alike, err
+		}
+	}
+	return alike, nil
+}
+
+// fits tells whether an explanation is of a recorded deed.
+func fits(w control.Why, d record.Deed) bool {
+	p := w.Placement
+	switch d.Verb {
+	case record.Send:
+		return p.Verb == control.Send && w.Job == d.Job && p.Server == d.Server && p.Allow == d.Time
+	case record.PushBack:
+		return p.Verb == control.PushBack && w.Job == d.Job && p.StayAway == d.Time
+	}
+	return p.Verb == control.Kill && w.Job == d.Job
+}
+
 // listener gathers what the module tells about one job.
 type listener struct {
 	job     control.JobID
--- a/internal/lab/lab_test.go
+++ b/internal/lab/lab_test.go
@@ -8,6 +8,10 @@
 	"strings"
 	"testing"
 	"time"
+
+	"hollymast/internal/explain"
+	"hollymast/internal/record"
+	"hollymast/internal/replay"
 )
 
 // router builds the router's program.
@@ -45,6 +49,30 @@
 	}
 }
 
+// What a real router decided on a bad day, replay and explanation decide too.
+func TestRecordedDayIsReplayedAndExplainedAlike(t *testing.T) {
+	d := &Day{Seed: 3, Jobs: 1200, Length: 4 * time.Second, Routers: 2, Workers: 6, Functions: 8, Ration: true, Record: t.TempDir(),
+		Troubles: []Trouble{{Kind: "hang", At: 500 * time.Millisecond, Lasts: time.Second, Number: 1},
+			{Kind: "crash", At: time.Second, Lasts: 500 * time.Millisecond, Number: 2},
+			{Kind: "balancer_kill", At: 2 * time.Second, Lasts: 200 * time.Millisecond, Number: 1}}}
+	if _, err := Run(context.Background(), d, router(t)); err != nil {
+		t.Fatal(err)
+	}
+	for _, r := range []string{"router-0", "router-1"} {
+		files, err := record.Segments(filepath.Join(d.Record, r))
+		if err != nil {
+			t.Fatal(err)
+		}
+		a, err := replay.Play(files, replay.Range{})
+		if err != nil || a.Lost > 0 || a.Deeds < 500 {
+			t.Errorf("%s: %+v, %v", r, a, err)
+		}
+		if n, err := explain.All(files); err != nil || n < 300 {
+			t.Errorf("%s: %d explained, %v", r, n, err)
+		}
+	}
+}
+
 func TestStoppedDayEndsAtOnce(t *testing.T) {
 	program := router(t)
 	ctx, stop := context.WithTimeout(context.Background(), time.Second)
--- a/internal/lab/load.go
+++ b/internal/lab/load.go
@@ -16,6 +16,8 @@
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 
+	"hollymast/internal/record"
+	"hollymast/internal/replay"
 	"hollymast/internal/rest"
 	"hollymast/kserve"
 )
@@ -30,6 +32,7 @@
 	Idle        int    // further client connections that do nothing
 	Bytes       int    // of tensors a job
 	prefix      string // of functions' names
+	Recording   bool   // the stream is measured again while the router records
 	Strangers   int    // distinct functions that no server has, asked for before the stream is measured a second time
 }
 
@@ -42,6 +45,8 @@
 	CPU            float64 // microseconds of the router's processor time a job
 	Memory         int64   // kilobytes resident in the router at the end
 	Achieved       float64 // jobs a second that were kept up
+	Recorded       float64 // bytes a job on disk
+	Lost           uint64  // turns that the recording lost
 }
 
 // strangers begins the names of functions that no server has.
@@ -112,9 +117,14 @@
 	if err != nil {
 		return nil, err
 	}
+	admin, err := freeAddress()
+	if err != nil {
+		return nil, err
+	}
 	r := &process{file: filepath.Join(dir, "router.ini")}
 	settings := fmt.Sprintf(`[router]
 listen = %s
+admin = %s
 list = %s
 log = warn
 [servers]
@@ -127,7 +137,7 @@
 [function *]
 workload = any
 lanes = 1024
-`, address, filepath.Join(dir, "workers.ini"))
+`, address, admin, filepath.Join(dir, "workers.ini"))
 	for name, text := range map[string]string{r.file: settings, filepath.Join(dir, "workers.ini"): list.String()} {
 		if err := os.WriteFile(name, []byte(text), 0o600); err != nil {
 			return nil, err
@@ -177,6 +187,35 @@
 	if err := through("through the router", load); err != nil {
 		return nil, err
 	}
+	if load.Recording {
+		folder := filepath.Join(dir, "recording")
+		if err := operate(ctx, admin, "/router/record/start?folder="+folder); err != nil {
+			return nil, err
+		}
+		if err := through("router, recording", load); err != nil {
+			return nil, err
+		}
+		if err := operate(ctx, admin, "/router/record/stop"); err != nil {
+			return nil, err
+		}
+		files, err := record.Segments(folder)
+		if err != nil {
+			return nil, err
+		}
+		size := int64(0)
+		for _, f := range files {
+			if info, err := os.Stat(f); err == nil {
+				size += info.Size()
+			}
+		}
+		m := &measured[len(measured)-1]
+		m.Recorded = float64(size) / float64(max(1, m.Jobs))
+		a, err := replay.Play(files, replay.Range{})
+		if err != nil {
+			return nil, err
+		}
+		m.Lost = a.Lost
+	}
 	if load.Strangers > 0 {
 		alien := load
 		alien.prefix, alien.Functions = strangers[1:], load.Strangers
@@ -191,6 +230,20 @@
 	return measured, r.end(syscall.SIGTERM)
 }
 
+// operate asks a router something at its admin address.
+func operate(ctx context.Context, admin, target string) error {
+	c, err := rest.Dial(ctx, admin, &rest.Usual)
+	if err != nil {
+		return err
+	}
+	defer c.Close()
+	p, _, err := c.Do(&rest.Request{Method: "POST", Target: target, Header: rest.Header{"Host": {admin}}}, time.Now().Add(10*time.Second))
+	if err == nil && p.Status != 200 {
+		err = fmt.Errorf("the router answers %d: %s", p.Status, p.Body)
+	}
+	return err
+}
+
 // stream sends a steady stream of jobs to addresses in turn.
 func stream(ctx context.Context, load Load, addresses []string) (Measured, error) {
 	total := int64(float64(load.Rate) * load.Length.Seconds())
