--- a/control/control.go
+++ b/control/control.go
@@ -177,6 +177,9 @@
 			if f.held++; f.held == 1 {
 				f.heldFrom = now
 			}
+			if !f.waits {
+				f.waits, r.waiting = true, append(r.waiting, f)
+			}
 			j.heldSince = now
 		} else {
 			f.held--
@@ -554,7 +557,9 @@
 }
 
 // ProvesUnrun tells whether a result proves that the job did not run.
-func (r Result) ProvesUnrun() bool { return r == Full || r == NoConnection || r == NeverSent || r == Missing }
+func (r Result) ProvesUnrun() bool {
+	return r == Full || r == NoConnection || r == NeverSent || r == Missing
+}
 
 // After takes in how an execution ended and answers what to do with its job.
 func (r *Router) After(now Micros, j *Job, o Outcome) Placement {
@@ -714,9 +719,11 @@
 	r.pool(now)
 	r.examine(now)
 	r.tidy(now)
-	for _, f := range r.order {
+	r.waiting = slices.DeleteFunc(r.waiting, func(f *function) bool {
 		r.check(now, f)
-	}
+		f.waits = f.held > 0
+		return !f.waits
+	})
 	up.Recalls, up.Notes, r.recalls, r.notes = r.recalls, r.notes, nil, nil
 	return up
 }
@@ -782,7 +789,7 @@
 
 // idle tells whether all that is known of a function may be forgotten.
 func (r *Router) idle(now Micros, f *function) bool {
-	return f.held == 0 && f.recent == 0 && !slices.ContainsFunc(f.instances, func(in *instance) bool {
+	return !f.waits && f.recent == 0 && !slices.ContainsFunc(f.instances, func(in *instance) bool {
 		return in.out > 0 || r.warm(now, in) || r.underWay(now, in)
 	})
 }
--- a/control/snapshot.go
+++ b/control/snapshot.go
@@ -26,6 +26,7 @@
 	Answers   []Micros
 	Rate      float64
 	Fresh     Micros
+	Waiting   []int // places of functions
 	Recent    []int // places of functions
 	Tidied    int
 	Watching  bool
@@ -72,6 +73,7 @@
 	Execs     Samples
 	Delays    Samples
 	Held      int
+	Waits     bool
 	Recent    int
 	HeldFrom  Micros
 	Blocked   Micros
@@ -177,7 +179,7 @@
 	place := make(map[*function]int, len(r.order))
 	for i, f := range r.order {
 		place[f] = i
-		fs := FunctionSnapshot{ID: f.id, Lanes: f.lanes, Due: f.due, Execs: f.execs.snapshot(), Delays: f.delays.snapshot(), Held: f.held,
+		fs := FunctionSnapshot{ID: f.id, Lanes: f.lanes, Due: f.due, Execs: f.execs.snapshot(), Delays: f.delays.snapshot(), Held: f.held, Waits: f.waits,
 			Recent: f.recent, HeldFrom: f.heldFrom, Blocked: f.blocked, Instances: many(f.instances, func(in *instance) InstanceSnapshot {
 				return InstanceSnapshot{in.server.Server, in.copies, in.used, in.loading, in.since, in.out}
 			})}
@@ -187,7 +189,8 @@
 		}
 		s.Functions = append(s.Functions, fs)
 	}
-	s.Recent = many(r.recent, func(f *function) int { return place[f] })
+	at := func(f *function) int { return place[f] }
+	s.Recent, s.Waiting = many(r.recent, at), many(r.waiting, at)
 	return s
 }
 
@@ -219,7 +222,7 @@
 		r.servers = append(r.servers, to)
 	}
 	for _, v := range s.Functions {
-		f := &function{id: v.ID, lanes: v.Lanes, due: v.Due, execs: v.Execs.restore(), delays: v.Delays.restore(), held: v.Held, recent: v.Recent,
+		f := &function{id: v.ID, lanes: v.Lanes, due: v.Due, execs: v.Execs.restore(), delays: v.Delays.restore(), held: v.Held, waits: v.Waits, recent: v.Recent,
 			heldFrom: v.HeldFrom, blocked: v.Blocked}
 		if v.Last != nil {
 			if f.last = jobs[v.Last.Job.ID]; f.last == nil {
@@ -236,11 +239,16 @@
 		}
 		r.functions[v.ID], r.order = f, append(r.order, f)
 	}
-	for _, i := range s.Recent {
-		if i < 0 || i >= len(r.order) {
-			return nil, fmt.Errorf("snapshot: a job for function %d of %d", i, len(r.order))
+	for _, list := range []struct {
+		from []int
+		to   *[]*function
+	}{{s.Recent, &r.recent}, {s.Waiting, &r.waiting}} {
+		for _, i := range list.from {
+			if i < 0 || i >= len(r.order) {
+				return nil, fmt.Errorf("snapshot: a job for function %d of %d", i, len(r.order))
+			}
+			*list.to = append(*list.to, r.order[i])
 		}
-		r.recent = append(r.recent, r.order[i])
 	}
 	return r, nil
 }
--- a/control/state.go
+++ b/control/state.go
@@ -15,6 +15,7 @@
 	servers   []*server // by ascending id
 	functions map[FunctionID]*function
 	order     []*function // as first seen
+	waiting   []*function // for which jobs were held since the last check
 	execs     []samples   // by workload
 	patience  []samples   // by workload
 	due       []Micros    // by tenant: until when its jobs have used up its share
@@ -82,6 +83,7 @@
 	execs     samples
 	delays    samples // holding here plus queueing there
 	held      int
+	waits     bool   // is in waiting
 	recent    int    // of the last jobs taken, those for it
 	heldFrom  Micros // since when some job has been held
 	blocked   Micros // when a job for it last found no place
--- a/internal/drill/drill.go
+++ b/internal/drill/drill.go
@@ -7,15 +7,26 @@
 	"encoding/binary"
 	"fmt"
 	"io"
+	"os"
+	"time"
+
+	"github.com/rs/zerolog"
 
 	"hollymast/control"
 	"hollymast/internal/core"
+	"hollymast/internal/program"
+	"hollymast/internal/record"
 	"hollymast/internal/wire"
 )
 
-// Run answers batches until the input ends.
-func Run(in io.Reader, out io.Writer) error {
-	h := &host{routers: map[uint32]*router{}}
+// Run answers batches until the input ends. With a folder it records each router's turns there, as a gateway does.
+func Run(in io.Reader, out io.Writer, folder string) error {
+	h := &host{routers: map[uint32]*router{}, folder: folder}
+	defer func() {
+		for _, r := range h.routers {
+			r.endRecording()
+		}
+	}()
 	r, w := bufio.NewReaderSize(in, 1<<16), bufio.NewWriterSize(out, 1<<16)
 	var frame, reply []byte
 	for {
@@ -43,6 +54,8 @@
 // host holds the routers of this process; they share nothing but the frame they are read from.
 type host struct {
 	routers map[uint32]*router
+	folder  string // for recordings; empty: none
+	lives   int
 	touched []*router // this batch's, in order of their first record
 	current *router
 	now     control.Micros
@@ -76,6 +89,30 @@
 	out       *wire.Replies
 	touched   bool
 	broke     string
+	writer    *record.Writer
+}
+
+// record begins a recording of a router that starts.
+func (h *host) record(r *router) error {
+	if h.folder == "" {
+		return nil
+	}
+	h.lives++
+	bounds := record.Bounds{Segment: 64 << 20, Age: time.Hour, Total: 1 << 40, Wait: true} // a day is kept whole
+	head := record.Header{Build: program.Build(), Router: int(r.number), Life: fmt.Sprintf("%d-%d", r.number, h.lives)}
+	var err error
+	if r.writer, err = record.Open(h.folder, bounds, head, r.core.Snapshot, zerolog.New(os.Stderr)); err == nil {
+		r.core.Record(r.writer.Tape())
+		r.writer.Begin(h.now)
+	}
+	return err
+}
+
+func (r *router) endRecording() {
+	if r.writer != nil {
+		r.core.Record(nil)
+		r.writer.Close()
+	}
 }
 
 func (r *router) start() *wire.Replies {
--- a/internal/drill/records.go
+++ b/internal/drill/records.go
@@ -50,16 +50,18 @@
 	if err != nil {
 		return err
 	}
+	h.current.endRecording()
 	number, touched, out := h.current.number, h.current.touched, h.current.out
 	*h.current = router{number: number, touched: touched, out: out, fields: boot.Report.Fields,
 		workloads: len(boot.Classes)}
 	h.current.core = core.New(control.Start(h.now, seed, told), h.current)
-	return nil
+	return h.record(h.current)
 }
 
 // Destroy forgets all that the router held.
 func (h *host) Destroy() error {
 	return h.with(func(r *router) error {
+		r.endRecording()
 		*r = router{number: r.number, touched: r.touched}
 		return nil
 	})
--- a/internal/record/write.go
+++ b/internal/record/write.go
@@ -22,6 +22,7 @@
 	Segment int64         // bytes after which a new segment begins
 	Age     time.Duration // after which it does too
 	Total   int64         // bytes of all segments: the oldest go
+	Wait    bool          // a turn waits for the disk where time is simulated: nothing is lost
 }
 
 // Writer records a core. Its Tape runs in the turn and only hands over; a goroutine of its own writes. Where that can't
@@ -97,7 +98,9 @@
 func (w *Writer) end(t Turn) {
 	number := w.turns
 	w.turns++
-	if w.on {
+	if w.on && w.bounds.Wait {
+		w.work <- item{number: number, turn: t}
+	} else if w.on {
 		select {
 		case w.work <- item{number: number, turn: t}:
 		default:
