--- a/internal/record/record_test.go
+++ b/internal/record/record_test.go
@@ -19,7 +19,7 @@
 
 // A disk that is too slow stops no turn: turns are dropped, and the next segment says how many.
 func TestSlowDiskLeavesAGapThatIsTold(t *testing.T) {
-	w := &Writer{work: make(chan item, depth), state: state, log: zerolog.Nop()} // nobody writes
+	w := &Writer{queue: queue{wake: make(chan struct{}, 1)}, state: state, log: zerolog.Nop()} // nobody writes
 	w.Begin(1)
 	for i := range control.Micros(depth + 9) {
 		w.end(Turn{Clock: i})
@@ -27,18 +27,15 @@
 	if w.Lost() != 10 { // the beginning took a place too
 		t.Errorf("%d turns lost", w.Lost())
 	}
-	for range depth - 1 {
-		<-w.work
-	}
+	w.queue.take(nil)
 	w.end(Turn{Clock: 99}) // there is room again
-	<-w.work
-	it := <-w.work
-	if it.header == nil || it.header.Gap != 11 || it.header.Turn != depth+10 || it.header.Clock != 99 {
-		t.Errorf("got %+v", it.header)
+	items, _ := w.queue.take(nil)
+	if len(items) != 1 || items[0].header == nil || items[0].header.Gap != 11 || items[0].header.Turn != depth+10 || items[0].header.Clock != 99 {
+		t.Errorf("got %+v", items)
 	}
 	w.end(Turn{Clock: 100})
-	if it = <-w.work; it.number != depth+10 {
-		t.Errorf("got turn %d", it.number)
+	if items, _ = w.queue.take(nil); len(items) != 1 || items[0].number != depth+10 {
+		t.Errorf("got %+v", items)
 	}
 }
 
--- a/internal/record/write.go
+++ b/internal/record/write.go
@@ -33,7 +33,7 @@
 	head   Header
 	log    zerolog.Logger
 	state  func() (*core.Snapshot, error)
-	work   chan item
+	queue  queue
 	done   sync.WaitGroup
 	fresh  atomic.Bool // the goroutine wants a new segment
 
@@ -57,13 +57,63 @@
 // depth is how many turns may wait for the disk: a second of a busy router.
 const depth = 8192
 
+// queue hands items from the turn to the goroutine that writes. It wakes that one seldom: a wake-up for each turn cost
+// more than all else of the recording.
+type queue struct {
+	mu     sync.Mutex
+	items  []item
+	closed bool
+	wake   chan struct{}
+}
+
+// push gives false where the queue is full.
+func (q *queue) push(it item) bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if len(q.items) >= depth {
+		return false
+	}
+	if q.items = append(q.items, it); len(q.items) == depth/2 {
+		q.signal()
+	}
+	return true
+}
+
+func (q *queue) signal() {
+	select {
+	case q.wake <- struct{}{}:
+	default:
+	}
+}
+
+func (q *queue) length() int {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return len(q.items)
+}
+
+// take gives all items and whether more may come.
+func (q *queue) take(room []item) (items []item, closed bool) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	items, q.items = q.items, room[:0]
+	return items, q.closed
+}
+
+func (q *queue) close() {
+	q.mu.Lock()
+	q.closed = true
+	q.mu.Unlock()
+	q.signal()
+}
+
 // Open begins a recording in a folder. State is asked, within turns, for the core's snapshot. Errors are those of the
 // folder.
 func Open(dir string, bounds Bounds, head Header, state func() (*core.Snapshot, error), log zerolog.Logger) (*Writer, error) {
 	if err := os.MkdirAll(dir, 0o700); err != nil {
 		return nil, err
 	}
-	w := &Writer{dir: dir, bounds: bounds, head: head, state: state, log: log, work: make(chan item, depth)}
+	w := &Writer{dir: dir, bounds: bounds, head: head, state: state, log: log, queue: queue{wake: make(chan struct{}, 1)}}
 	w.head.Version = Version
 	w.done.Add(1)
 	go func() {
@@ -86,11 +136,8 @@
 	h := w.head
 	h.Segment, h.Turn, h.Gap = -1, w.turns, w.gap
 	h.Clock = now
-	select {
-	case w.work <- item{header: &h, checkpoint: s}:
-		w.on, w.gap = true, 0
-	default:
-		w.on = false
+	if w.on = w.queue.push(item{header: &h, checkpoint: s}); w.on {
+		w.gap = 0
 	}
 }
 
@@ -98,20 +145,17 @@
 func (w *Writer) end(t Turn) {
 	number := w.turns
 	w.turns++
-	if w.on && w.bounds.Wait {
-		w.work <- item{number: number, turn: t}
-	} else if w.on {
-		select {
-		case w.work <- item{number: number, turn: t}:
-		default:
-			w.on = false
+	for w.on && !w.queue.push(item{number: number, turn: t}) {
+		if w.on = w.bounds.Wait; w.on {
+			w.queue.signal()
+			time.Sleep(time.Millisecond)
 		}
 	}
 	if !w.on {
 		w.gap++
 		w.lost.Add(1)
 	}
-	if w.fresh.CompareAndSwap(true, false) || !w.on && len(w.work) < depth/2 {
+	if w.fresh.CompareAndSwap(true, false) || !w.on && w.queue.length() < depth/2 {
 		w.Begin(t.Clock)
 	}
 }
@@ -124,7 +168,7 @@
 
 // Close ends the recording, with all turns that were handed over. Its Tape must not be in use any more.
 func (w *Writer) Close() {
-	close(w.work)
+	w.queue.close()
 	w.done.Wait()
 }
 
@@ -134,54 +178,44 @@
 	size  int64
 	begun time.Time
 	turns batch
-	bytes int
 }
 
 // write is the goroutine that writes.
 func (w *Writer) write() {
-	var s *segment
+	var s *segment // nil: the last one failed, or none was begun
+	var failed time.Time
 	number := 0
+	var room []item
 	flush := time.NewTicker(100 * time.Millisecond) // how much a killed router loses
 	defer flush.Stop()
-	fail := func(err error) {
-		w.log.Error().Err(err).Msg("recording failed: turns are lost until a new segment can be begun")
-		if s != nil && s.file != nil {
-			s.file.Close()
+	check := func(err error) {
+		if err != nil {
+			w.log.Error().Err(err).Msg("recording failed: turns are lost until a new segment can be begun")
+			if s != nil {
+				s.file.Close()
+			}
+			s, failed = nil, time.Now()
 		}
-		s = nil
 	}
-	failedAt := time.Time{}
 	for {
 		select {
-		case it, open := <-w.work:
-			if !open {
-				if s != nil {
-					if err := w.flush(s); err != nil {
-						fail(err)
-					} else if err := s.file.Close(); err != nil {
-						w.log.Error().Err(err).Msg("recording not closed well")
-					}
-				}
-				return
-			}
+		case <-w.queue.wake:
+		case <-flush.C:
+		}
+		items, closed := w.queue.take(room)
+		for _, it := range items {
 			if it.header != nil {
 				if s != nil {
-					if err := w.flush(s); err != nil {
-						fail(err)
-					} else {
-						s.file.Close()
-					}
+					check(w.finish(s))
 				}
 				it.header.Segment = number
 				number++
 				var err error
-				if s, err = w.begin(it); err != nil {
-					fail(err)
-					failedAt = time.Now()
-				}
+				s, err = w.begin(it)
+				check(err)
 				continue
 			}
-			if s == nil { // the segment failed: what comes for it is lost
+			if s == nil { // what comes for a segment that failed is lost
 				w.lost.Add(1)
 				continue
 			}
@@ -191,30 +225,37 @@
 			s.turns.Turns = append(s.turns.Turns, it.turn)
 			const full = 512 // turns in a frame: enough for zstd to find what repeats
 			if len(s.turns.Turns) >= full {
-				if err := w.flush(s); err != nil {
-					fail(err)
-					failedAt = time.Now()
-				}
+				check(w.flush(s))
 			}
-		case <-flush.C:
-			if s == nil {
-				if time.Since(failedAt) > time.Second && !failedAt.IsZero() {
-					failedAt = time.Now()
-					w.fresh.Store(true)
-				}
-				continue
-			}
-			if err := w.flush(s); err != nil {
-				fail(err)
-				failedAt = time.Now()
-			} else if s.size > w.bounds.Segment || time.Since(s.begun) > w.bounds.Age {
+		}
+		clear(items)
+		room = items
+		switch {
+		case closed && s != nil:
+			check(w.finish(s))
+			return
+		case closed:
+			return
+		case s != nil:
+			if check(w.flush(s)); s != nil && (s.size > w.bounds.Segment || time.Since(s.begun) > w.bounds.Age) {
 				s.begun = time.Now()
 				w.fresh.Store(true)
 			}
+		case !failed.IsZero() && time.Since(failed) > time.Second:
+			failed = time.Now()
+			w.fresh.Store(true)
 		}
 	}
 }
 
+// finish ends a segment.
+func (w *Writer) finish(s *segment) error {
+	if err := w.flush(s); err != nil {
+		return err
+	}
+	return s.file.Close()
+}
+
 // begin opens a segment's file and writes its head.
 func (w *Writer) begin(it item) (*segment, error) {
 	w.makeRoom()
