Keyed ids of functions, jobs near a time, recording guide

Whoever guesses names could check them against a recording; with name_key ids are an HMAC of the name. hmexplain --at lists the jobs decided about near a time. A test of stopping counted jobs that were not yet taken.

--- a/cmd/hmexplain/main.go
+++ b/cmd/hmexplain/main.go
@@ -17,6 +17,8 @@
 	program.Common
 	Paths  []string `arg:"" help:"Segments in order, or a folder of them." type:"path"`
 	Job    uint64   `help:"The job's number, as in the router's log."`
+	At     int64    `help:"List the jobs decided about near a time, in microseconds since 1970 as in the log."`
+	Span   int64    `default:"100000" help:"How near, in microseconds."`
 	All    bool     `help:"Hold every explanation against the decision that was recorded, and print how many were alike."`
 	WhatIf string   `name:"what-if" help:"Ask the first decision again with one thing changed: drain, ready, slot or no-report, then = and a server's id in hex."`
 	JSON   bool     `name:"json" help:"Print JSON."`
@@ -24,7 +26,15 @@
 
 func main() {
 	var c cli
-	program.Parse(&c, "hmexplain", "Tells from a recording why the decisions about one job came out as they did.")
+	program.Parse(&c, "hmexplain", `Tells from a recording why the decisions about one job came out as they did.
+
+Examples:
+
+  hmexplain REC --at 1796133869057624        jobs decided about then
+
+  hmexplain REC --job 300                    why each decision about it
+
+  hmexplain REC --job 300 --what-if drain=7f0000019a7b`)
 	program.Exit("hmexplain", c.run())
 }
 
@@ -40,8 +50,15 @@
 		}
 		return err
 	}
+	if c.At != 0 {
+		jobs, err := explain.Near(files, control.Micros(c.At), control.Micros(c.Span))
+		for _, j := range jobs {
+			fmt.Println(j)
+		}
+		return err
+	}
 	if c.Job == 0 {
-		return program.Use{Err: errors.New("name a job with --job, or ask for --all")}
+		return program.Use{Err: errors.New("name a job with --job or a time with --at, or ask for --all")}
 	}
 	q := explain.Question{Job: control.JobID(c.Job)}
 	if c.WhatIf != "" {
--- a/cmd/hmreplay/main.go
+++ b/cmd/hmreplay/main.go
@@ -23,7 +23,13 @@
 
 func main() {
 	var c cli
-	program.Parse(&c, "hmreplay", "Plays recordings of a router through this build and compares every decision.")
+	program.Parse(&c, "hmreplay", `Plays recordings of a router through this build and compares every decision.
+
+Examples:
+
+  hmreplay REC                               exit 1 at the first difference
+
+  hmreplay REC --job 300 --show              what was decided about a job`)
 	program.Exit("hmreplay", c.run())
 }
 
--- a/internal/core/bench_test.go
+++ b/internal/core/bench_test.go
@@ -59,3 +59,13 @@
 	}
 	b.ReportMetric(float64(c.Held()), "held")
 }
+
+// BenchmarkSnapshot is the checkpoint that a recording takes within a turn.
+func BenchmarkSnapshot(b *testing.B) {
+	c, _ := crowded()
+	for b.Loop() {
+		if _, err := c.Snapshot(); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -79,6 +79,33 @@
 	If  *Change // asked again, at the job's first decision, with this changed
 }
 
+// Near lists the jobs that were decided about within a span round a time, in order, each once.
+func Near(files []string, at, span control.Micros) (jobs []control.JobID, err error) {
+	seen := map[control.JobID]bool{}
+	for _, name := range files {
+		s, err := record.OpenSegment(name)
+		if err != nil {
+			return jobs, err
+		}
+		err = s.Turns(func(_ uint64, t record.Turn) error {
+			if t.Clock < at-span || t.Clock > at+span {
+				return nil
+			}
+			for _, d := range t.Did {
+				if d.Job != 0 && !seen[d.Job] {
+					seen[d.Job], jobs = true, append(jobs, d.Job)
+				}
+			}
+			return nil
+		})
+		s.Close()
+		if err != nil && !errors.Is(err, record.ErrDamaged) {
+			return jobs, err
+		}
+	}
+	return jobs, nil
+}
+
 // ErrNoDecision tells that the recording holds no decision about the job.
 var ErrNoDecision = errors.New("the recording holds no decision about this job")
 
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -88,6 +88,15 @@
 	}
 }
 
+func TestNear(t *testing.T) {
+	files := recorded(t)
+	for at, want := range map[control.Micros][]control.JobID{5_000_000: {1}, 5_002_000: {2}, 9_000_000: nil} {
+		if jobs, err := Near(files, at, 500); err != nil || !reflect.DeepEqual(jobs, want) {
+			t.Errorf("at %d: %v, %v", at, jobs, err)
+		}
+	}
+}
+
 func TestWhatIf(t *testing.T) {
 	files := recorded(t)
 	plain, err := Job(files, Question{Job: 2}) // by then both servers are known
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -5,6 +5,9 @@
 
 import (
 	"context"
+	"crypto/hmac"
+	"crypto/sha256"
+	"encoding/binary"
 	"errors"
 	"fmt"
 	"math/rand/v2"
@@ -312,8 +315,16 @@
 	}
 }
 
-// functionID is the same in every router, since all share one order of servers for a function.
-func functionID(name string) control.FunctionID { return control.FunctionID(xxhash.Sum64String(name)) }
+// functionID is the same in every router, since all share one order of servers for a function. With a key, which all
+// routers must be told alike, nobody without it can check guessed names against the ids in a recording.
+func functionID(key, name string) control.FunctionID {
+	if key == "" {
+		return control.FunctionID(xxhash.Sum64String(name))
+	}
+	h := hmac.New(sha256.New, []byte(key))
+	h.Write([]byte(name))
+	return control.FunctionID(binary.BigEndian.Uint64(h.Sum(nil)))
+}
 
 // arrived takes a job in hand, or pushes it back at once beyond the bounds.
 func (g *Gateway) arrived(now control.Micros, j *job, p Pattern, tenant control.TenantID, ask kserve.Ask, age control.Micros) {
@@ -340,7 +351,7 @@
 		j.mark = g.run + "-" + strconv.FormatUint(uint64(j.id), 36)
 	}
 	g.jobs[j.id] = j
-	err := g.core.Arrived(now, control.Job{ID: j.id, Workload: p.Workload, Tenant: tenant, Function: functionID(j.name),
+	err := g.core.Arrived(now, control.Job{ID: j.id, Workload: p.Workload, Tenant: tenant, Function: functionID(g.told.NameKey, j.name),
 		Lanes: p.Lanes, Work: p.Work, LoadTime: p.LoadTime, Arrived: begun, Patience: max(now, j.patience), Repeat: ask.Repeat})
 	if err != nil {
 		g.log.Error().Err(err).Msg("job not taken")
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -435,14 +435,19 @@
 		t.Errorf("got %q, %v after %s", line, err, time.Since(begun))
 	}
 	for left := 1; left > 0; time.Sleep(time.Millisecond) { // no job stays in hand, though its server is silent
-		counted := make(chan int)
-		f.g.tell(func(control.Micros) { counted <- len(f.g.jobs) })
-		if left = <-counted; time.Since(begun) > 900*time.Millisecond {
+		if left = f.inHand(); time.Since(begun) > 900*time.Millisecond {
 			t.Fatal("the execution was not called off before its limit")
 		}
 	}
 }
 
+// inHand counts the jobs that the gateway has in hand.
+func (f *field) inHand() int {
+	counted := make(chan int, 1)
+	f.g.tell(func(control.Micros) { counted <- len(f.g.jobs) })
+	return <-counted
+}
+
 func (f *field) received(job string) (n int) {
 	for _, r := range f.log.Records() {
 		if r.Kind == audit.Received && r.Job == job {
@@ -505,7 +510,7 @@
 			}
 		}()
 	}
-	for len(f.log.Records()) < 10 {
+	for f.inHand() < 8 {
 		time.Sleep(time.Millisecond)
 	}
 	f.stop()
@@ -580,6 +585,21 @@
 	}
 }
 
+func TestFunctionIDsAreKeyed(t *testing.T) {
+	ids := map[control.FunctionID]bool{}
+	for _, key := range []string{"", "one key of some length", "another of some length"} {
+		for _, name := range []string{"a", "b"} {
+			ids[functionID(key, name)] = true
+			if functionID(key, name) != functionID(key, name) {
+				t.Errorf("%q, %q: ids differ between routers", key, name)
+			}
+		}
+	}
+	if len(ids) != 6 {
+		t.Errorf("%d ids of 6 are distinct", len(ids))
+	}
+}
+
 func TestForwardedLeavesOutOneConnectionsFields(t *testing.T) {
 	h := forwarded(rest.Header{"Connection": {"close, x-hop"}, "X-Hop": {"1"}, "Te": {"x"}, "A": {"b"}, kserve.HeaderLength: {"3"}})
 	if len(h) != 2 || h.Get("A") != "b" || h.Get(kserve.HeaderLength) != "3" {
--- a/internal/gateway/told.go
+++ b/internal/gateway/told.go
@@ -20,6 +20,7 @@
 	List       string // file that lists the servers
 	Zone       string
 	Seed       uint64 // 0: drawn at the start
+	NameKey    string // keys the ids of functions; empty: they are plain hashes of the names
 	LogLevel   string
 	Deployment control.Deployment
 	Workloads  []string // names, in the order of Deployment.Workloads
@@ -92,6 +93,10 @@
 		r.Fault("number", "%d, but routers are numbered from 0 and there are %d", d.Number, d.Routers)
 	}
 	t.Seed = uint64(r.Int("seed", 0, 0, 1<<62))
+	t.NameKey = r.Text("name_key", "")
+	if t.NameKey != "" && len(t.NameKey) < 16 {
+		r.Fault("name_key", "shorter than 16 bytes: names could be found by trying keys")
+	}
 	levels := []string{"debug", "info", "warn", "error"}
 	t.LogLevel = levels[r.OneOf("log", "info", levels...)]
 
--- a/internal/record/record_test.go
+++ b/internal/record/record_test.go
@@ -101,3 +101,44 @@
 		t.Errorf("got %v", err)
 	}
 }
+
+type silent struct{}
+
+func (silent) Send(*control.Job, control.ExecutionID, control.ServerID, control.Micros) {}
+func (silent) PushBack(control.JobID, control.Micros)                                   {}
+func (silent) Kill(control.JobID)                                                       {}
+func (silent) CallOff(control.JobID, control.ExecutionID)                               {}
+func (silent) Order(*control.Job, control.Order)                                        {}
+func (silent) Subscribe()                                                               {}
+func (silent) Note(string)                                                              {}
+func (silent) Alarm(control.Micros)                                                     {}
+
+// BenchmarkCheckpoint is a segment's beginning at 80 servers and 1000 functions; it is made outside turns.
+func BenchmarkCheckpoint(b *testing.B) {
+	told := control.Deployment{Routers: 3, Tick: 4000, MaxExecutions: 3, Fall: 1_000_000, KeepAlive: 60_000_000, LoadsOnMiss: true,
+		Workloads: []control.Workload{{StartTarget: 1_000_000, TimeLimit: 60_000_000}}}
+	now := control.Micros(1_000_000_000)
+	c := core.New(control.Start(now, 1, told), silent{})
+	list := make([]control.Listing, 80)
+	for i := range list {
+		list[i] = control.Listing{Server: control.ServerID(i + 1), State: control.Ready, Power: 1}
+	}
+	c.Listed(now, control.ListWhole, list)
+	for i := range control.JobID(1000) {
+		c.Arrived(now, control.Job{ID: i, Function: control.FunctionID(i), Lanes: 1, Arrived: now, Patience: now + 1<<50})
+	}
+	c.Turn(now)
+	s, err := c.Snapshot()
+	if err != nil {
+		b.Fatal(err)
+	}
+	size := 0
+	for b.Loop() {
+		still, err := Still(Header{}, now, s)
+		if err != nil {
+			b.Fatal(err)
+		}
+		size = len(still)
+	}
+	b.ReportMetric(float64(size), "bytes")
+}
