--- a/cmd/hmlab/main.go
+++ b/cmd/hmlab/main.go
@@ -163,7 +163,7 @@
 		for _, m := range measured {
 			fmt.Printf("%-20s %8d %8.0f %8d %8d %8d %8d %10.1f %10d\n", m.Path, rate, m.Achieved, m.Failed, m.P50, m.P99, m.P999, m.CPU, m.Memory)
 			if m.Recorded > 0 {
-				fmt.Printf("  recorded %.1f bytes a job, %d turns lost, replayed alike\n", m.Recorded, m.Lost)
+				fmt.Printf("  recorded %.1f bytes a job, %d turns lost, replayed alike %.0f times as fast\n", m.Recorded, m.Lost, m.Replayed)
 			}
 		}
 	}
--- a/internal/lab/load.go
+++ b/internal/lab/load.go
@@ -47,6 +47,7 @@
 	Achieved       float64 // jobs a second that were kept up
 	Recorded       float64 // bytes a job on disk
 	Lost           uint64  // turns that the recording lost
+	Replayed       float64 // how many times as fast as it was recorded
 }
 
 // strangers begins the names of functions that no server has.
@@ -210,11 +211,12 @@
 		}
 		m := &measured[len(measured)-1]
 		m.Recorded = float64(size) / float64(max(1, m.Jobs))
+		begun := time.Now()
 		a, err := replay.Play(files, replay.Range{})
 		if err != nil {
 			return nil, err
 		}
-		m.Lost = a.Lost
+		m.Lost, m.Replayed = a.Lost, float64(a.Last-a.First)/1e6/time.Since(begun).Seconds()
 	}
 	if load.Strangers > 0 {
 		alien := load
