--- a/cmd/hmexplain/main.go
+++ b/cmd/hmexplain/main.go
@@ -2,6 +2,7 @@
 package main
 
 import (
+	"bufio"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -17,6 +18,8 @@
 	program.Common
 	Paths  []string `arg:"" help:"Segments in order, or a folder of them." type:"path"`
 	Job    uint64   `help:"The job's number, as in the router's log."`
+	Asked  string   `name:"request" help:"The request's own id; needs --log."`
+	Log    string   `help:"The router's log, at level debug, in which requests are named." type:"path"`
 	At     int64    `help:"List the jobs decided about near a time, in microseconds since 1970 as in the log."`
 	Span   int64    `default:"100000" help:"How near, in microseconds."`
 	All    bool     `help:"Hold every explanation against the decision that was recorded, and print how many were alike."`
@@ -57,6 +60,11 @@
 		}
 		return err
 	}
+	if c.Asked != "" {
+		if c.Job, err = requested(c.Log, c.Asked); err != nil {
+			return program.Use{Err: err}
+		}
+	}
 	if c.Job == 0 {
 		return program.Use{Err: errors.New("name a job with --job or a time with --at, or ask for --all")}
 	}
@@ -83,3 +91,28 @@
 	}
 	return nil
 }
+
+// requested finds a request's job in a router's log.
+func requested(log, id string) (uint64, error) {
+	f, err := os.Open(log)
+	if err != nil {
+		return 0, err
+	}
+	defer f.Close()
+	lines := bufio.NewScanner(f)
+	lines.Buffer(nil, 1<<20)
+	job := uint64(0)
+	for lines.Scan() {
+		var l struct {
+			Message, Request string
+			Job              uint64
+		}
+		if json.Unmarshal(lines.Bytes(), &l) == nil && l.Message == "taken" && l.Request == id {
+			job = l.Job // the last one, where an id was used again
+		}
+	}
+	if job == 0 && lines.Err() == nil {
+		return 0, fmt.Errorf("%s names no request %q; it must be at level debug", log, id)
+	}
+	return job, lines.Err()
+}
--- a/cmd/hmlab/main.go
+++ b/cmd/hmlab/main.go
@@ -23,7 +23,15 @@
 
 func main() {
 	var c cli
-	ctx := program.Parse(&c, "hmlab", "The laboratory of hollymast.")
+	ctx := program.Parse(&c, "hmlab", `The laboratory of hollymast.
+
+Examples:
+
+  hmlab day --seed 7                              the built-in bad day
+
+  hmlab day --script days/dawn.ini --record REC
+
+  hmlab load --rates 1000,10000 --recording`)
 	program.Exit("hmlab", ctx.Run())
 }
 
--- a/cmd/hmprobe/main.go
+++ b/cmd/hmprobe/main.go
@@ -29,7 +29,15 @@
 
 func main() {
 	var c cli
-	ctx := program.Parse(&c, "hmprobe", "Asks servers what a router would ask, and tells what it would conclude from their answers.")
+	ctx := program.Parse(&c, "hmprobe", `Asks servers what a router would ask, and tells what it would conclude from their answers.
+
+Examples:
+
+  hmprobe servers --list workers.ini              runs nothing
+
+  hmprobe servers 127.0.0.1:9001 --run forecast-a
+
+  hmprobe router 127.0.0.1:8081 record-start --folder /var/tmp/rec`)
 	program.Exit("hmprobe", ctx.Run())
 }
 
--- a/cmd/hmreplay/main.go
+++ b/cmd/hmreplay/main.go
@@ -2,8 +2,12 @@
 package main
 
 import (
+	"cmp"
 	"errors"
 	"fmt"
+	"os/exec"
+	"strconv"
+	"strings"
 	"time"
 
 	"hollymast/control"
@@ -19,6 +23,8 @@
 	Until uint64   `help:"Last turn; 0: the end."`
 	Job   uint64   `help:"Only decisions for this job."`
 	Show  bool     `help:"Print each decision."`
+
+	Against string `help:"Another build's hmreplay: plays the same recordings, and the two are held against each other." type:"path"`
 }
 
 func main() {
@@ -64,6 +70,9 @@
 	for _, d := range a.Damaged {
 		fmt.Println(d)
 	}
+	if c.Against != "" {
+		return c.against(files, different)
+	}
 	if different != nil {
 		fmt.Println(different)
 		return errors.New("decisions differ")
@@ -71,3 +80,30 @@
 	fmt.Println("all decisions are the same")
 	return nil
 }
+
+// against has another build play the same segments. Both are held against the recording, so they decide alike if they
+// first leave it with the same decision, or neither does.
+func (c cli) against(files []string, ours *replay.Difference) error {
+	args := []string{"--from", strconv.FormatUint(c.From, 10), "--until", strconv.FormatUint(c.Until, 10), "--job", strconv.FormatUint(c.Job, 10)}
+	out, err := exec.Command(c.Against, append(args, files...)...).Output()
+	var exit *exec.ExitError
+	if err != nil && (!errors.As(err, &exit) || exit.ExitCode() != program.Found) {
+		return program.Use{Err: fmt.Errorf("%s: %w", c.Against, err)}
+	}
+	theirs := ""
+	for line := range strings.Lines(string(out)) {
+		if strings.Contains(line, ", now ") || strings.Contains(line, "differs from the checkpoint") {
+			theirs = strings.TrimSpace(line)
+		}
+	}
+	mine := ""
+	if ours != nil {
+		mine = ours.Error()
+	}
+	if mine == theirs {
+		fmt.Println("both builds decide the same")
+		return nil
+	}
+	fmt.Printf("this build:  %s\nother build: %s\n", cmp.Or(mine, "as recorded"), cmp.Or(theirs, "as recorded"))
+	return errors.New("the builds differ")
+}
--- a/cmd/hollymast/main.go
+++ b/cmd/hollymast/main.go
@@ -30,7 +30,13 @@
 
 func main() {
 	var c cli
-	ctx := program.Parse(&c, "hollymast", "Routes KServe v2 calls to workers that load functions on demand.")
+	ctx := program.Parse(&c, "hollymast", `Routes KServe v2 calls to workers that load functions on demand.
+
+Examples:
+
+  hollymast example > router.ini                  commented settings
+
+  hollymast check router.ini && hollymast serve router.ini`)
 	program.Exit("hollymast", ctx.Run())
 }
 
