Servers that left the list are remembered as long as by the module

The gateway forgot a server a second after it left the list; one that came back with the start it had then counted as cold, and got little for no reason.

go test of fleet and gateway pass.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -32,6 +32,7 @@
 	State   control.ServerState
 	told    int64          // the start as the list told it
 	born    control.Micros // brought into the router's time
+	left    control.Micros // when it was last on a list
 }
 
 // Fleet is the list as last told.
@@ -97,7 +98,7 @@
 		if fresh {
 			s.told, s.born = e.Born, f.born(now, e.Born)
 		}
-		s.State = e.State
+		s.State, s.left = e.State, now
 		out = append(out, control.Listing{Server: id, State: e.State, Zone: f.Zone(e.Zone),
 			Cell: intern(f.cells, e.Cell), Power: e.Power, Born: s.born})
 	}
@@ -124,10 +125,12 @@
 	return max(1, min(at, now))
 }
 
-// Forget drops servers that are gone and for which keep says no.
-func (f *Fleet) Forget(keep func(control.ServerID) bool) {
+// Forget drops servers that left the list long ago and for which keep says no. Until then a server that comes back with
+// the start that it had is known not to be cold.
+func (f *Fleet) Forget(now control.Micros, keep func(control.ServerID) bool) {
+	const long = 600_000_000 // as long as the module keeps them
 	for id, s := range f.servers {
-		if s.State == control.Gone && !keep(id) {
+		if s.State == control.Gone && now > s.left+long && !keep(id) {
 			delete(f.servers, id)
 		}
 	}
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -71,8 +71,11 @@
 	f := New(0)
 	f.Whole(1, []Entry{entry("127.0.0.1:1", 0), entry("127.0.0.1:2", 0), entry("127.0.0.1:3", 0)})
 	f.Whole(2, []Entry{entry("127.0.0.1:3", 0)})
-	f.Forget(func(id control.ServerID) bool { return id == ID("127.0.0.1:2") })
-	if len(f.servers) != 2 || f.Get(ID("127.0.0.1:1")) != nil {
+	keep := func(id control.ServerID) bool { return id == ID("127.0.0.1:2") }
+	if f.Forget(60*second, keep); len(f.servers) != 3 {
+		t.Error("forgotten after a minute")
+	}
+	if f.Forget(3600*second, keep); len(f.servers) != 2 || f.Get(ID("127.0.0.1:1")) != nil {
 		t.Errorf("got %v", f.servers)
 	}
 }
--- a/internal/gateway/workers.go
+++ b/internal/gateway/workers.go
@@ -296,7 +296,7 @@
 			delete(g.pools, id)
 		}
 	}
-	g.fleet.Forget(func(id control.ServerID) bool { return g.pools[id] != nil })
+	g.fleet.Forget(now, func(id control.ServerID) bool { return g.pools[id] != nil })
 }
 
 func (g *Gateway) closePools() {
