--- a/control/control.go
+++ b/control/control.go
@@ -747,7 +747,8 @@
 		}
 	}
 	if r.trace != nil {
-		r.trace.check(Check{now, f.id, f.held, slots, loading, delay, target - exec, target, r.loadTime(f.last)})
+		r.trace.check(Check{Now: now, Function: f.id, Held: f.held, Slots: slots, Loading: loading, Delay: delay,
+			Slack: target - exec, Target: target, LoadTime: r.loadTime(f.last)})
 	}
 	if delay < target-exec || slots == 0 || Micros(f.held)*target/Micros(slots) < r.loadTime(f.last) {
 		return
@@ -756,9 +757,9 @@
 	f.due = min(few, int(math.Ceil(float64(f.held-slots)/perLane))-loading)
 }
 
-// tidy forgets what is long idle, so that a router may serve for months, and names that nobody knows cost no more
-// than their jobs. Only beyond many functions does any go: one with nothing held or out, and no copy believed loaded
-// or coming, which loses only its execution times. A server goes long after it left the list.
+// tidy forgets what is long idle, so that a router may serve for months, and names that nobody knows cost no
+// more than their jobs. Only beyond many functions does any go: one with nothing held or out, and no copy
+// believed loaded or coming, which loses only its execution times. A server goes long after it left the list.
 func (r *Router) tidy(now Micros) {
 	const many = 1 << 14  // some 20 MB; a check of all takes a fraction of a millisecond
 	const batch = 1 << 11 // looked at in one upkeep: more new names a second than a router takes jobs
--- a/internal/core/bench_test.go
+++ b/internal/core/bench_test.go
@@ -6,25 +6,13 @@
 	"hollymast/control"
 )
 
-// quiet is an outlet that does nothing.
-type quiet struct{}
-
-func (quiet) Send(*control.Job, control.ExecutionID, control.ServerID, control.Micros) {}
-func (quiet) PushBack(control.JobID, control.Micros)                                   {}
-func (quiet) Kill(control.JobID)                                                       {}
-func (quiet) CallOff(control.JobID, control.ExecutionID)                               {}
-func (quiet) Order(*control.Job, control.Order)                                        {}
-func (quiet) Subscribe()                                                               {}
-func (quiet) Note(string)                                                              {}
-func (quiet) Alarm(control.Micros)                                                     {}
-
 // crowded gives a core that knows 80 servers and 1000 functions, each with a job. Two on each server wait behind
 // loads and the rest is held, as when a fleet comes back empty.
 func crowded() (*Core, control.Micros) {
 	told := control.Deployment{Routers: 3, Tick: 4000, MaxExecutions: 3, Cancels: true, Fall: 1_000_000, KeepAlive: 60_000_000,
 		Orders: true, LoadsOnMiss: true, Workloads: []control.Workload{{StartTarget: 1_000_000, TimeLimit: 60_000_000}}}
 	const functions, servers, held = 1000, 80, 500
-	c := New(control.Start(1, 1, told), quiet{})
+	c := New(control.Start(1, 1, told), Silent{})
 	list := make([]control.Listing, servers)
 	for i := range list {
 		list[i] = control.Listing{Server: control.ServerID(i + 1), State: control.Ready, Power: 1}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -45,6 +45,33 @@
 	Alarm(at control.Micros)
 }
 
+// Silent is an outlet that does nothing, for those who only listen to decisions.
+type Silent struct{}
+
+// Send and the others do nothing.
+func (Silent) Send(*control.Job, control.ExecutionID, control.ServerID, control.Micros) {}
+
+// PushBack does nothing.
+func (Silent) PushBack(control.JobID, control.Micros) {}
+
+// Kill does nothing.
+func (Silent) Kill(control.JobID) {}
+
+// CallOff does nothing.
+func (Silent) CallOff(control.JobID, control.ExecutionID) {}
+
+// Order does nothing.
+func (Silent) Order(*control.Job, control.Order) {}
+
+// Subscribe does nothing.
+func (Silent) Subscribe() {}
+
+// Note does nothing.
+func (Silent) Note(string) {}
+
+// Alarm does nothing.
+func (Silent) Alarm(control.Micros) {}
+
 // Tape hears all that a core hears and does, in order, before the core acts on it.
 type Tape interface {
 	Outlet
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -14,24 +14,13 @@
 	"hollymast/internal/record"
 )
 
-type silent struct{}
-
-func (silent) Send(*control.Job, control.ExecutionID, control.ServerID, control.Micros) {}
-func (silent) PushBack(control.JobID, control.Micros)                                   {}
-func (silent) Kill(control.JobID)                                                       {}
-func (silent) CallOff(control.JobID, control.ExecutionID)                               {}
-func (silent) Order(*control.Job, control.Order)                                        {}
-func (silent) Subscribe()                                                               {}
-func (silent) Note(string)                                                              {}
-func (silent) Alarm(control.Micros)                                                     {}
-
 // recorded is a router that hears a list of two servers, places job 1, hears that server 2 drains, and places job 2.
 func recorded(t *testing.T) []string {
 	t.Helper()
 	told := control.Deployment{Routers: 1, Tick: 4000, MaxExecutions: 3, Fall: 1_000_000, KeepAlive: 1_000_000, LoadsOnMiss: true,
 		Workloads: []control.Workload{{StartTarget: 300_000, TimeLimit: 2_000_000}}}
 	now := control.Micros(5_000_000)
-	c := core.New(control.Start(now, 1, told), silent{})
+	c := core.New(control.Start(now, 1, told), core.Silent{})
 	dir := t.TempDir()
 	w, err := record.Open(dir, record.Bounds{Segment: 1 << 20, Age: time.Hour, Total: 1 << 30}, record.Header{Life: "a"}, c.Snapshot, zerolog.Nop())
 	if err != nil {
--- a/internal/record/record_test.go
+++ b/internal/record/record_test.go
@@ -102,23 +102,12 @@
 	}
 }
 
-type silent struct{}
-
-func (silent) Send(*control.Job, control.ExecutionID, control.ServerID, control.Micros) {}
-func (silent) PushBack(control.JobID, control.Micros)                                   {}
-func (silent) Kill(control.JobID)                                                       {}
-func (silent) CallOff(control.JobID, control.ExecutionID)                               {}
-func (silent) Order(*control.Job, control.Order)                                        {}
-func (silent) Subscribe()                                                               {}
-func (silent) Note(string)                                                              {}
-func (silent) Alarm(control.Micros)                                                     {}
-
 // BenchmarkCheckpoint is a segment's beginning at 80 servers and 1000 functions; it is made outside turns.
 func BenchmarkCheckpoint(b *testing.B) {
 	told := control.Deployment{Routers: 3, Tick: 4000, MaxExecutions: 3, Fall: 1_000_000, KeepAlive: 60_000_000, LoadsOnMiss: true,
 		Workloads: []control.Workload{{StartTarget: 1_000_000, TimeLimit: 60_000_000}}}
 	now := control.Micros(1_000_000_000)
-	c := core.New(control.Start(now, 1, told), silent{})
+	c := core.New(control.Start(now, 1, told), core.Silent{})
 	list := make([]control.Listing, 80)
 	for i := range list {
 		list[i] = control.Listing{Server: control.ServerID(i + 1), State: control.Ready, Power: 1}
--- a/internal/replay/replay_test.go
+++ b/internal/replay/replay_test.go
@@ -16,6 +16,7 @@
 
 // traffic drives a recorded core: jobs come, run for a while on some server, and end in all ways.
 type traffic struct {
+	core.Silent
 	core *core.Core
 	now  control.Micros
 	rand uint64
@@ -38,13 +39,6 @@
 func (t *traffic) Send(j *control.Job, no control.ExecutionID, to control.ServerID, _ control.Micros) {
 	t.out = append(t.out, flight{j.ID, no, to})
 }
-func (t *traffic) PushBack(control.JobID, control.Micros)     {}
-func (t *traffic) Kill(control.JobID)                         {}
-func (t *traffic) CallOff(control.JobID, control.ExecutionID) {}
-func (t *traffic) Order(*control.Job, control.Order)          {}
-func (t *traffic) Subscribe()                                 {}
-func (t *traffic) Note(string)                                {}
-func (t *traffic) Alarm(control.Micros)                       {}
 
 func (t *traffic) turn() {
 	t.now += control.Micros(1 + t.below(8000))
