--- a/internal/audit/audit_test.go
+++ b/internal/audit/audit_test.go
@@ -73,9 +73,11 @@
 		"cold server spared":  {0, cold[:5]},
 		"fell over":           {4, []Record{{Kind: FellOver}}},
 
-		"orders beyond the ration": {5, []Record{{At: 1, Kind: Ordered}, {At: 2, Kind: Ordered}}},
-		"orders within":            {0, append([]Record{{At: -9, Kind: Ordered}}, append(finished("forecast"), Record{At: 80_000, Kind: Ordered})...)[:6]},
-		"orders of two routers":    {0, []Record{{At: 1, Kind: Ordered}, {At: 2, Kind: Ordered, Router: 1}}},
+		"orders beyond the ration":   {5, []Record{{At: 1, Kind: Ordered}, {At: 2, Kind: Ordered}}},
+		"orders within":              {0, append([]Record{{At: -9, Kind: Ordered}}, append(finished("forecast"), Record{At: 80_000, Kind: Ordered})...)[:6]},
+		"orders of a renewed router": {0, []Record{{At: 1, Kind: Ordered}, {At: 2, Kind: Renewed}, {At: 3, Kind: Ordered}}},
+		"orders of a woken router":   {5, []Record{{At: 1, Kind: Ordered}, {At: 2, Kind: Back}, {At: 3, Kind: Ordered}}},
+		"orders of two routers":      {0, []Record{{At: 1, Kind: Ordered}, {At: 2, Kind: Ordered, Router: 1}}},
 	} {
 		v := Judge(law(), c.recs)
 		for _, r := range v.Rules {
--- a/internal/audit/log.go
+++ b/internal/audit/log.go
@@ -28,9 +28,10 @@
 	Started  // the server started, cold
 	FellOver // it was pushed over
 
-	Told   // the list that routers read was written with the server's state in Word: ready, draining or gone
-	Halted // a router was frozen, killed or told to end
-	Back   // it runs again
+	Told    // the list that routers read was written with the server's state in Word: ready, draining or gone
+	Halted  // a router was frozen, killed or told to end
+	Renewed // it is started anew, after it had ended
+	Back    // it runs again
 )
 
 // The final answers.
@@ -41,9 +42,6 @@
 	Other      = "other" // a refusal before the job was taken
 )
 
-// Restarted is the word of Back for a router that was ended and started anew.
-const Restarted = "restarted"
-
 // Record is one thing seen at one end of a wire. Times are microseconds of one monotonic clock.
 type Record struct {
 	At       int64
--- a/internal/audit/rules.go
+++ b/internal/audit/rules.go
@@ -323,10 +323,8 @@
 	orders, asked := map[int][]int64{}, map[int][]int64{}
 	for _, x := range recs {
 		switch x.Kind {
-		case Back:
-			if x.Word == Restarted { // a router without memory counts anew
-				delete(orders, x.Router)
-			}
+		case Renewed: // a router without memory counts anew, from its first order on
+			delete(orders, x.Router)
 		case Asked:
 			at := x.At
 			for _, h := range halts[x.Router] { // what came meanwhile is taken once the router runs again
--- a/internal/lab/day.go
+++ b/internal/lab/day.go
@@ -495,15 +495,14 @@
 	case "balancer_kill":
 		r.end(syscall.SIGKILL)
 		sleep(ctx, t.Lasts)
+		p.log.Add(audit.Record{Kind: audit.Renewed, Router: t.Number})
 		if err := r.start(p.bin, p.dir); err != nil {
 			p.fail(err)
 			return
 		}
 		p.awaitReady(ctx, t.Number)
 	}
-	if halted.Kind = audit.Back; t.Kind != "balancer_stall" {
-		halted.Word = audit.Restarted
-	}
+	halted.Kind = audit.Back
 	p.log.Add(halted)
 }
 
