A stopping router answers what had already reached it

Told to stop, the router closed its listener and idle connections at once: connections that the kernel had accepted and requests on their way were reset, and their clients could not know that nothing had run. It now takes what arrives within 20 ms and pushes it back, then closes.

--- a/internal/gateway/clients.go
+++ b/internal/gateway/clients.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"net"
+	"os"
 	"strconv"
 	"strings"
 	"time"
@@ -20,6 +21,10 @@
 		if errors.Is(err, net.ErrClosed) {
 			return
 		}
+		if errors.Is(err, os.ErrDeadlineExceeded) {
+			l.Close()
+			return
+		}
 		if err != nil { // out of descriptors, say: connections will end
 			g.log.Warn().Err(err).Msg("a connection could not be accepted")
 			time.Sleep(10 * time.Millisecond)
@@ -71,14 +76,17 @@
 		g.conns.Delete(c)
 		c.Close()
 	}()
-	for {
+	if g.isStopping() {
+		limits.IdleTime = 5 * lastAccepts // its request is on the way, or there is none
+	}
+	for first := true; ; first = false {
 		g.conns.Store(c, true)
 		select {
 		case <-g.ended:
 			return
 		default:
 		}
-		if !admin && g.isStopping() {
+		if !admin && g.isStopping() && !first {
 			return
 		}
 		q, err := c.Next()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -246,15 +246,20 @@
 	}
 }
 
+// lastAccepts is for how long a stopping router takes connections, to push back what they ask: several times what it takes
+// to accept all that wait.
+const lastAccepts = 20 * time.Millisecond
+
 func (g *Gateway) beginStop() {
 	g.stopping = true
 	g.ready.Store(false)
 	g.stopNow.Store(true)
 	g.log.Info().Int("jobs", len(g.jobs)).Msg("stopping: no new jobs are taken")
-	g.listeners[0].Close()
+	// What the kernel has accepted by now is still answered: closed at once, the listener would reset it.
+	g.listeners[0].(*net.TCPListener).SetDeadline(time.Now().Add(lastAccepts))
 	g.conns.Range(func(c, waiting any) bool {
 		if waiting.(bool) {
-			c.(*rest.Conn).Close()
+			c.(*rest.Conn).Hurry(lastAccepts) // a request may be on its way
 		}
 		return true
 	})
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -513,7 +513,12 @@
 	for f.inHand() < 8 {
 		time.Sleep(time.Millisecond)
 	}
+	late, r := f.talk() // accepted by the kernel at least
+	io.WriteString(late, text("late", "ticket-1"))
 	f.stop()
+	if line, err := r.ReadString('\n'); err != nil || !strings.HasPrefix(line, "HTTP/1.1 ") {
+		t.Errorf("a job that came just before the stop: got %q, %v", line, err)
+	}
 	wg.Wait()
 	if v := f.judge(); v.Finished == 0 {
 		t.Errorf("got %+v", v)
--- a/internal/rest/server.go
+++ b/internal/rest/server.go
@@ -31,6 +31,10 @@
 // Close closes the connection; it may be called from any goroutine.
 func (c *Conn) Close() error { return c.nc.Close() }
 
+// Hurry has a connection that waits for a request wait no longer than this; it is meant for
+// one on which no request has begun. It may be called from any goroutine while Next waits.
+func (c *Conn) Hurry(d time.Duration) { c.nc.SetReadDeadline(time.Now().Add(d)) }
+
 // ErrIdle is what Next gives for a connection on which no request began in time.
 var ErrIdle = errors.New("idle for too long")
 
