--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -192,12 +192,6 @@
 	return open
 }
 
-// Open tells whether a job still awaits its final answer.
-func (c *Core) Open(id control.JobID) bool {
-	h := c.jobs[id]
-	return h != nil && !h.over
-}
-
 // Left ends a job that its client no longer wants.
 func (c *Core) Left(now control.Micros, id control.JobID) {
 	if c.tape != nil {
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -101,8 +101,8 @@
 	c.Turn(1)
 	c.Left(2, 1)
 	c.Left(2, 1)
-	if c.Open(1) || c.Jobs() != 1 {
-		t.Errorf("open %t, %d jobs", c.Open(1), c.Jobs())
+	if !c.jobs[1].over || c.Jobs() != 1 {
+		t.Errorf("over %t, %d jobs", c.jobs[1].over, c.Jobs())
 	}
 	w.taken()
 	if c.Answered(3, 1, control.Outcome{}) || c.Answered(3, 1, control.Outcome{}) || c.Answered(3, 9, control.Outcome{}) {
--- a/internal/rest/server.go
+++ b/internal/rest/server.go
@@ -39,7 +39,7 @@
 var ErrIdle = errors.New("idle for too long")
 
 // Next waits for the next request and reads it whole. io.EOF tells that the client is done, ErrIdle that it was idle;
-// a *Refused is to be answered with Refuse. Other errors are the connection's.
+// a *Refused is to be answered with its status, and closes the connection. Other errors are the connection's.
 func (c *Conn) Next() (*Request, error) {
 	c.nc.SetReadDeadline(after(c.limits.IdleTime))
 	if _, err := c.r.Peek(1); err != nil {
