--- a/cmd/hollymast/main.go
+++ b/cmd/hollymast/main.go
@@ -23,9 +23,10 @@
 
 type cli struct {
 	program.Common
-	Serve serve   `cmd:"" help:"Route jobs until told to stop."`
-	Check check   `cmd:"" help:"Tell all that is wrong with a settings file, and do nothing else."`
-	Show  showing `cmd:"" name:"example" help:"Print a commented settings file."`
+	Serve serve      `cmd:"" help:"Route jobs until told to stop."`
+	Check check      `cmd:"" help:"Tell all that is wrong with a settings file, and do nothing else."`
+	On    onPlatform `cmd:"" name:"platform" help:"Route jobs on the operators' platform, as its configuration tells."`
+	Show  showing    `cmd:"" name:"example" help:"Print a commented settings file."`
 }
 
 func main() {
--- /dev/null
+++ b/cmd/hollymast/platform.go
@@ -0,0 +1,62 @@
+package main
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"runtime"
+	"runtime/debug"
+	"syscall"
+
+	"hollymast/internal/platform"
+	"hollymast/internal/program"
+)
+
+type onPlatform struct {
+	Name   string `help:"This router's name." env:"BALANCER_NAME"`
+	Listen string `help:"Where clients connect." env:"BALANCER_LISTEN"`
+	Config string `help:"The platform's configuration (JSON)." env:"BALANCER_CONFIG" required:""`
+	Log    string `help:"Log level: debug tells of each execution." default:"info" enum:"debug,info,warn,error"`
+}
+
+func (o onPlatform) Run() error {
+	signals := make(chan os.Signal, 4) // before all else: either may come at any time
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	env := platform.Environment{Name: o.Name, Listen: o.Listen, File: o.Config}
+	told, err := platform.ReadTold(env)
+	if err != nil {
+		return program.Use{Err: err}
+	}
+	// The scheduler needs no more threads than it has cores, and the collector a bound below that at which the platform
+	// kills: a part stays for stacks, the program itself and what the kernel holds.
+	runtime.GOMAXPROCS(max(1, int(told.Cores)))
+	if told.MemoryMB > 0 {
+		debug.SetMemoryLimit(int64(told.MemoryMB) << 20 * 6 / 10)
+	}
+	log := program.Log(os.Stderr, "hollymast", o.Log)
+	p, err := platform.New(told, log)
+	if err != nil {
+		return err
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	defer stop()
+	go func() {
+		for sig := range signals {
+			if sig != syscall.SIGHUP {
+				stop()
+				continue
+			}
+			fresh, err := platform.ReadTold(env)
+			if err != nil {
+				log.Error().Err(err).Msg("configuration refused: the old one stands")
+				continue
+			}
+			p.Reload(fresh)
+			log.Info().Str("board", fresh.Board).Msg("reloaded")
+		}
+	}()
+	log.Info().Str("listen", p.Address()).Str("name", told.Name).Str("board", told.Board).Float64("cores", told.Cores).
+		Int("memory_mb", told.MemoryMB).Int("sockets", told.Sockets).Msg("serving")
+	p.Serve(ctx)
+	return nil
+}
--- /dev/null
+++ b/internal/board/board.go
@@ -0,0 +1,159 @@
+// Package board is the notice board: the list of servers as it tells it, in numbered events, one a line. What a line means
+// and when to ask again is plain state, free of I/O and clocks; Follow dials.
+package board
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"math"
+	"slices"
+	"strconv"
+
+	"hollymast/control"
+	"hollymast/internal/fleet"
+)
+
+// Known is what a configuration holds of the board: all events so far.
+type Known struct {
+	Rev     uint64  `json:"rev"`
+	Notices []Event `json:"notices"`
+}
+
+// Event is one numbered event.
+type Event struct {
+	Rev  uint64 `json:"rev"`
+	Pool *Pool  `json:"pool"` // nil: it tells of something else
+}
+
+// Pool tells servers: all of them, or those that changed.
+type Pool struct {
+	All     bool     `json:"all"`
+	Targets []Target `json:"targets"`
+}
+
+// Target is a server as the board tells it.
+type Target struct {
+	UID      string  `json:"uid"`
+	Endpoint string  `json:"endpoint"`
+	Zone     string  `json:"az"`
+	Cell     int     `json:"pod_group"`
+	State    string  `json:"state"`
+	Power    float64 `json:"capacity_hint"`
+	BootMS   int64   `json:"boot_ms"`
+}
+
+var states = map[string]control.ServerState{"ready": control.Ready, "draining": control.Draining, "gone": control.Gone}
+
+// State is the list as told so far. Its zero value knows nothing.
+type State struct {
+	last    uint64
+	servers map[string]fleet.Entry
+	asked   bool // nothing was heard since the last time that we asked
+}
+
+// Last is the number of the last event that was taken in.
+func (s *State) Last() uint64 { return s.last }
+
+// Asked notes that all after Last was asked for: what comes first is what the board has, even where numbers are left out.
+func (s *State) Asked() { s.asked = true }
+
+// Meaning is what a line calls for.
+type Meaning uint8
+
+// The meanings.
+const (
+	Nothing  Meaning = iota
+	Changed          // the list
+	AskAgain         // an event is missing: ask from Last on
+)
+
+// Line takes in a line. An error tells that it can't be read; nothing of it was taken in.
+func (s *State) Line(line []byte) (Meaning, error) {
+	line = bytes.TrimSpace(line)
+	if len(line) == 0 {
+		return Nothing, nil
+	}
+	if line[0] != '{' {
+		n, err := strconv.ParseUint(string(line), 10, 64)
+		if err != nil {
+			return Nothing, fmt.Errorf("notice board: %q is no number", line[:min(len(line), 40)])
+		}
+		if n > s.last {
+			return AskAgain, nil
+		}
+		return Nothing, nil
+	}
+	var e Event
+	if err := json.Unmarshal(line, &e); err != nil {
+		return Nothing, fmt.Errorf("notice board: %w", err)
+	}
+	return s.Event(e)
+}
+
+// Event takes in one event: an older one is passed over, and one after a gap not taken in.
+func (s *State) Event(e Event) (Meaning, error) {
+	if e.Rev <= s.last {
+		return Nothing, nil
+	}
+	if e.Rev > s.last+1 && s.last > 0 && !s.asked {
+		return AskAgain, nil
+	}
+	if e.Pool != nil {
+		if err := e.Pool.check(); err != nil {
+			return Nothing, err
+		}
+		if e.Pool.All || s.servers == nil {
+			s.servers = map[string]fleet.Entry{}
+		}
+		for _, t := range e.Pool.Targets {
+			if t.State == "gone" {
+				delete(s.servers, t.UID)
+				continue
+			}
+			s.servers[t.UID] = fleet.Entry{Name: t.UID, Address: t.Endpoint, State: states[t.State], Zone: t.Zone,
+				Cell: strconv.Itoa(t.Cell), Power: t.Power, Born: t.BootMS * 1000}
+		}
+	}
+	s.last, s.asked = e.Rev, false
+	if e.Pool == nil {
+		return Nothing, nil
+	}
+	return Changed, nil
+}
+
+// check keeps an event out whole of which a part can't be used.
+func (p *Pool) check() error {
+	for _, t := range p.Targets {
+		if _, ok := states[t.State]; !ok || t.UID == "" || t.State != "gone" && t.Endpoint == "" {
+			return fmt.Errorf("notice board: server %q at %q in state %q", t.UID, t.Endpoint, t.State)
+		}
+		if t.BootMS < 0 || t.BootMS > math.MaxInt64/1000 {
+			return fmt.Errorf("notice board: server %q started at %d", t.UID, t.BootMS)
+		}
+	}
+	return nil
+}
+
+// Known takes in what a configuration tells.
+func (s *State) Known(k Known) error {
+	for _, e := range k.Notices {
+		s.asked = true
+		if _, err := s.Event(e); err != nil {
+			return err
+		}
+	}
+	s.last = max(s.last, k.Rev)
+	s.asked = false
+	return nil
+}
+
+// List gives the servers by name.
+func (s *State) List() []fleet.Entry {
+	list := make([]fleet.Entry, 0, len(s.servers))
+	for _, e := range s.servers {
+		list = append(list, e)
+	}
+	slices.SortFunc(list, func(a, b fleet.Entry) int { return bytes.Compare([]byte(a.Name), []byte(b.Name)) })
+	return list
+}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -17,6 +17,7 @@
 
 // Entry is one server as a list tells it.
 type Entry struct {
+	Name    string // where the list names servers apart from their addresses, which others may get; else empty
 	Address string
 	State   control.ServerState
 	Zone    string
@@ -43,6 +44,7 @@
 	offset  int64 // wall clock at the router's time 0, fixed at the start
 	read    control.Micros
 	first   bool
+	ours    bool
 	servers map[control.ServerID]*Server
 	zones   map[string]control.ZoneID
 	cells   map[string]control.CellID
@@ -55,6 +57,10 @@
 		zones: map[string]control.ZoneID{}, cells: map[string]control.CellID{}}
 }
 
+// OneClock has starts taken as told: for lists made by the clock that the router's own time was read from, on which a
+// server whose start is not told has run for long, whenever it is first listed.
+func (f *Fleet) OneClock() { f.ours = true }
+
 // ID gives a server's id: the same in every router, since all share one order of servers.
 func ID(address string) control.ServerID {
 	if a, err := netip.ParseAddrPort(address); err == nil && a.Addr().Is4() {
@@ -89,7 +95,7 @@
 	var out []control.Listing
 	listed := make(map[control.ServerID]bool, len(list))
 	for _, e := range list {
-		id := ID(e.Address)
+		id := ID(cmp.Or(e.Name, e.Address))
 		listed[id] = true
 		s := f.servers[id]
 		// With no start told, a server that was gone may have restarted meanwhile.
@@ -101,7 +107,7 @@
 		if fresh {
 			s.told, s.born = e.Born, f.born(now, e.Born)
 		}
-		s.Told = e
+		s.Told, s.Address = e, e.Address
 		s.State, s.Zone, s.Cell, s.left = e.State, f.Zone(e.Zone), intern(f.cells, e.Cell), now
 		out = append(out, control.Listing{Server: id, State: e.State, Zone: s.Zone, Cell: s.Cell, Power: e.Power, Born: s.born})
 	}
@@ -118,6 +124,9 @@
 // born brings the start of a server that was not on the last list, or not with this start, into the router's time. It
 // began after that list was read, whatever the clocks say, and no later than now.
 func (f *Fleet) born(now control.Micros, told int64) control.Micros {
+	if f.ours {
+		return control.Micros(max(0, told-f.offset))
+	}
 	if told == 0 && f.first {
 		return 0
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -23,6 +23,7 @@
 	"hollymast/internal/fleet"
 	"hollymast/internal/keyring"
 	"hollymast/internal/loads"
+	"hollymast/internal/mailbox"
 	"hollymast/internal/memory"
 	"hollymast/internal/record"
 	"hollymast/internal/rest"
@@ -65,9 +66,7 @@
 	orders     int // without an answer
 
 	// Shared.
-	mu         sync.Mutex
-	heard      []func(now control.Micros)
-	wake       chan struct{}
+	box        *mailbox.Box
 	bytes      atomic.Int64 // of bodies in hand
 	clients    atomic.Int64 // connections
 	ready      atomic.Bool  // a list was read, and we take jobs
@@ -108,7 +107,7 @@
 	if seed == 0 {
 		seed = rand.Uint64()
 	}
-	g := &Gateway{told: told, log: log, started: time.Now(), wake: make(chan struct{}, 1),
+	g := &Gateway{told: told, log: log, started: time.Now(), box: mailbox.New(),
 		jobs: map[control.JobID]*job{}, pools: map[control.ServerID]*pool{}, dials: make(chan struct{}, told.Dials),
 		refresh: make(chan chan struct{}), ended: make(chan struct{}), metrics: newMetrics(told)}
 	// Routers take turns at cold servers by their common time (control.coldRoom), so it begins at the wall clock; from
@@ -189,18 +188,7 @@
 func (g *Gateway) now() control.Micros { return g.epoch + micros(time.Since(g.started)) }
 
 // tell has f called in the next turn.
-func (g *Gateway) tell(f func(now control.Micros)) {
-	g.mu.Lock()
-	g.heard = append(g.heard, f)
-	first := len(g.heard) == 1
-	g.mu.Unlock()
-	if first {
-		select {
-		case g.wake <- struct{}{}:
-		default:
-		}
-	}
-}
+func (g *Gateway) tell(f func(now control.Micros)) { g.box.Tell(f) }
 
 // Serve routes until the context ends; then it stops taking jobs, gives each one in hand its answer within its own
 // limits, and returns. A nil error means that none was left.
@@ -252,11 +240,11 @@
 	g.timer = time.NewTimer(time.Hour)
 	defer g.timer.Stop()
 	done := ctx.Done()
-	batch := make([]func(control.Micros), 0, 64)
+	var batch []func(control.Micros)
 	g.turn(g.now(), nil)
 	for {
 		select {
-		case <-g.wake:
+		case <-g.box.Wake():
 		case <-g.timer.C:
 		case <-done:
 			done = nil
@@ -269,11 +257,8 @@
 				g.storm.Woke(g.now(), late)
 			}
 		}
-		g.mu.Lock()
-		batch, g.heard = g.heard, batch[:0]
-		g.mu.Unlock()
+		batch = g.box.Take(batch)
 		g.turn(g.now(), batch)
-		clear(batch)
 		if g.stopping && len(g.jobs) == 0 {
 			if g.orders == 0 {
 				break
--- /dev/null
+++ b/internal/platform/outbox.go
@@ -0,0 +1,133 @@
+package platform
+
+import (
+	"net"
+	"sync"
+	"time"
+)
+
+// outbox writes to one connection what others hand over without waiting. Its goroutine lives only while there is something
+// to write.
+type outbox struct {
+	mu      sync.Mutex
+	conn    net.Conn // nil: not up yet
+	queue   []parcel
+	size    int
+	most    int  // bytes that may wait
+	writing bool // the goroutine runs
+	closing bool // the connection ends with the last of it
+	closed  bool
+}
+
+// parcel is one message. Begin may be nil; it is asked right before the first byte, and no withdraws the parcel.
+type parcel struct {
+	data  []byte
+	begin func() bool
+	wrote func(whole bool)
+}
+
+// writeTime bounds a write: a reader that takes nothing for this long is gone, or means harm.
+const writeTime = 2 * time.Second
+
+// post hands over a message; no tells that the connection takes none any more. Guards against an end that asks and does
+// not read: beyond its bound the connection is closed.
+func (o *outbox) post(p parcel) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.closed || o.closing {
+		return false
+	}
+	if o.size+len(p.data) > o.most {
+		o.shut()
+		return false
+	}
+	o.queue = append(o.queue, p)
+	o.size += len(p.data)
+	o.start()
+	return true
+}
+
+func (o *outbox) start() {
+	if o.conn != nil && !o.writing && !o.closed {
+		o.writing = true
+		go o.write()
+	}
+}
+
+// up tells that the connection stands.
+func (o *outbox) up(conn net.Conn) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.conn = conn
+	if o.closed || o.closing && len(o.queue) == 0 {
+		o.shut()
+		return
+	}
+	if len(o.queue) > 0 {
+		o.start()
+	}
+}
+
+// end closes the connection once all that waits is written.
+func (o *outbox) end() {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.closing = true
+	if !o.writing && len(o.queue) == 0 {
+		o.shut()
+	}
+}
+
+// close closes it at once.
+func (o *outbox) close() {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.shut()
+}
+
+func (o *outbox) shut() {
+	o.closed = true
+	o.queue, o.size = nil, 0
+	if o.conn != nil {
+		o.conn.Close()
+	}
+}
+
+// drained tells that nothing waits or is being written.
+func (o *outbox) drained() bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.closed || !o.writing && len(o.queue) == 0
+}
+
+func (o *outbox) write() {
+	for {
+		o.mu.Lock()
+		if len(o.queue) == 0 || o.closed {
+			o.writing = false
+			if o.closing {
+				o.shut()
+			}
+			o.mu.Unlock()
+			return
+		}
+		p := o.queue[0]
+		o.queue[0] = parcel{}
+		if o.queue = o.queue[1:]; len(o.queue) == 0 {
+			o.queue = nil
+		}
+		o.size -= len(p.data)
+		o.mu.Unlock()
+		if p.begin != nil && !p.begin() {
+			continue
+		}
+		o.conn.SetWriteDeadline(time.Now().Add(writeTime))
+		n, err := o.conn.Write(p.data)
+		if p.wrote != nil {
+			p.wrote(n == len(p.data))
+		}
+		if err != nil {
+			o.close()
+		}
+	}
+}
--- /dev/null
+++ b/internal/platform/platform.go
@@ -0,0 +1,444 @@
+// Package platform is one real router on the operators' platform: client connections, server connections and the notice
+// board round one core. One goroutine owns the core, takes its turns and carries out what it asks; connections have
+// goroutines of their own. Nothing that may wait happens within a turn, and nothing is decided here.
+package platform
+
+import (
+	"cmp"
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"hollymast/control"
+	"hollymast/internal/attempt"
+	"hollymast/internal/binframe"
+	"hollymast/internal/board"
+	"hollymast/internal/core"
+	"hollymast/internal/fleet"
+	"hollymast/internal/mailbox"
+	"hollymast/internal/msgrpc"
+)
+
+// Platform is one router.
+type Platform struct {
+	told    *Told
+	log     zerolog.Logger
+	started time.Time
+	epoch   control.Micros // the router's time at its start: the Unix clock's, from then on monotonic
+
+	// The turn's own; touched by no other goroutine.
+	core     *core.Core
+	fleet    *fleet.Fleet
+	jobs     map[control.JobID]*job
+	pools    map[control.ServerID]*pool
+	linked   int // connections to servers
+	timer    *time.Timer
+	due      control.Micros // when the timer fires
+	pruned   control.Micros
+	turned   control.Micros // the last turn
+	clock    control.Micros // this turn's
+	stopping control.Micros // since when; 0: not
+	chance   *rand.PCG      // for the ids of orders; decides nothing
+
+	// Shared.
+	box      *mailbox.Box
+	follower *board.Follower
+	ready    atomic.Bool
+	listener *net.TCPListener
+	mu       sync.Mutex
+	clients  map[*client]struct{}
+	counts   map[string]int // what was out of order since the last line about it
+
+	mostClients, mostLinks int
+}
+
+// job is a job as its client's connection and its executions see it.
+type job struct {
+	id         control.JobID
+	number     uint32
+	client     *client
+	ask        msgrpc.Ask
+	workload   control.WorkloadID
+	tenant     control.TenantID
+	state      attempt.Answer
+	executions []*sending
+}
+
+const (
+	// fewestSockets is what a router needs to serve at all.
+	fewestSockets = 64
+	// spare descriptors: standard streams, the poller, the listener, the board's two, the configuration, and as many
+	// accepts and dials as may be ahead of what is counted.
+	spare = 40
+)
+
+// New opens the router's listener.
+func New(told *Told, log zerolog.Logger) (*Platform, error) {
+	now := time.Now()
+	p := &Platform{told: told, log: log, started: now, epoch: control.Micros(now.UnixMicro()), jobs: map[control.JobID]*job{},
+		pools: map[control.ServerID]*pool{}, box: mailbox.New(), clients: map[*client]struct{}{}, counts: map[string]int{},
+		fleet: fleet.New(0), chance: rand.NewPCG(told.Seed, 0)}
+	p.fleet.OneClock()
+	// Usual clients hold up to a third; the rest of a half is for those that say nothing.
+	p.mostClients = told.Sockets / 2
+	p.mostLinks = told.Sockets - p.mostClients - spare
+	deployment := told.Deployment
+	deployment.Zone = p.fleet.Zone(told.zone)
+	p.core = core.New(control.Start(p.epoch, told.Seed, deployment), p)
+	var state board.State
+	if err := state.Known(told.Known); err != nil {
+		return nil, err
+	}
+	p.timer = time.NewTimer(time.Hour)
+	p.listed(p.epoch, state.List())
+	p.follower = board.NewFollower(state, told.Board, func(list []fleet.Entry) {
+		p.box.Tell(func(now control.Micros) { p.listed(now, list) })
+	}, func(text string, err error) { p.log.Info().AnErr("why", err).Msg(text) })
+	l, err := net.Listen("tcp", told.Listen)
+	if err != nil {
+		return nil, err
+	}
+	p.listener = l.(*net.TCPListener)
+	return p, nil
+}
+
+// Address is where clients are listened to.
+func (p *Platform) Address() string { return p.listener.Addr().String() }
+
+// span is a time of the module's as the standard library has it.
+func span(t control.Micros) time.Duration { return time.Duration(t) * time.Microsecond }
+
+func (p *Platform) now() control.Micros {
+	return p.epoch + control.Micros(time.Since(p.started)/time.Microsecond)
+}
+
+// Reload takes in a new configuration: where the notice board is. The rest needs a restart.
+func (p *Platform) Reload(told *Told) { p.follower.Turn(told.Board, told.Known) }
+
+// servesOn is for how long a stopping router takes jobs: requests keep coming for 0.6 s, and what comes within 0.7 s is
+// owed an answer.
+const servesOn = 800 * time.Millisecond
+
+// Serve routes until the context ends, serves on for a little, gives each job in hand its answer, and returns.
+func (p *Platform) Serve(ctx context.Context) {
+	following, stop := context.WithCancel(context.Background())
+	var others sync.WaitGroup
+	defer others.Wait()
+	defer stop()
+	others.Go(func() { p.follower.Follow(following) })
+	others.Go(func() { p.accept(p.listener) })
+	defer p.listener.Close()
+	p.ready.Store(true)
+	done := ctx.Done()
+	var last <-chan time.Time
+	var batch []func(control.Micros)
+	told := time.NewTicker(10 * time.Second)
+	defer told.Stop()
+	for {
+		select {
+		case <-p.box.Wake():
+		case <-p.timer.C:
+		case <-told.C:
+			p.tell()
+			continue
+		case <-done:
+			done = nil
+			p.ready.Store(false)
+			p.log.Info().Int("jobs", len(p.jobs)).Msg("stopping: serving on a little, then answering what is in hand")
+			last = time.After(servesOn)
+		case <-last:
+			last = nil
+			p.listener.Close()
+			p.stopping = p.now()
+		}
+		p.pace()
+		batch = p.box.Take(batch)
+		p.turn(p.now(), batch)
+		if p.stopping > 0 && !p.owed() {
+			break
+		}
+		if p.stopping > 0 { // answers are being written
+			p.timer.Reset(min(5*time.Millisecond, span(max(0, p.due-p.now()))))
+		}
+	}
+	p.tell()
+	p.log.Info().Msg("no job is left in hand")
+	p.closeAll()
+}
+
+// pace keeps turns as far apart as the simulator's batches, so that what comes close together costs one turn.
+func (p *Platform) pace() {
+	now := p.now()
+	if attempt.Stood(now-p.due, p.told.grace) && p.due > 0 {
+		// This process stood still: what the board has told meanwhile is read first, so that no choice is made from a list
+		// that is older than the grace.
+		p.count("the router stood still")
+		time.Sleep(10 * time.Millisecond)
+		return
+	}
+	if wait := p.turned + p.told.Deployment.Tick - now; wait > 0 {
+		time.Sleep(span(min(wait, p.told.Deployment.Tick)))
+	}
+}
+
+func (p *Platform) turn(now control.Micros, heard []func(control.Micros)) {
+	p.clock, p.turned = now, now
+	for _, f := range heard {
+		f(now)
+	}
+	p.core.Turn(now)
+	p.prune(now)
+}
+
+// owed tells whether a job still waits for its answer, or an answer to be written.
+func (p *Platform) owed() bool {
+	for _, j := range p.jobs {
+		if !j.state.Given {
+			return true
+		}
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for c := range p.clients {
+		if !c.idle() || !c.box.drained() {
+			return true
+		}
+	}
+	return false
+}
+
+func (p *Platform) closeAll() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for c := range p.clients {
+		c.box.end()
+	}
+	for _, pl := range p.pools {
+		for _, l := range pl.links {
+			l.box.close()
+		}
+	}
+}
+
+// listed takes in the list of servers.
+func (p *Platform) listed(now control.Micros, list []fleet.Entry) {
+	p.core.Listed(now, control.ListWhole, p.fleet.Whole(now, list))
+	for id, pl := range p.pools {
+		s := p.fleet.Get(id)
+		if s == nil || s.State != control.Ready || s.Address != pl.address || control.Micros(s.Told.Born) != pl.born {
+			p.unlist(now, pl)
+			if s != nil && s.State == control.Ready { // another life: other connections
+				delete(p.pools, id)
+			}
+		}
+	}
+}
+
+// onTheWay is what of a client's patience goes by before its job is here, and before its answer is there: a millisecond or
+// two each, and several where the core is shared.
+const onTheWay = 10_000
+
+// arrived takes a job in hand.
+func (p *Platform) arrived(now control.Micros, j *job) {
+	if j.client.left(j) {
+		return // before this turn
+	}
+	if p.stopping > 0 {
+		p.finish(j, msgrpc.PushedBack(j.number, p.told.Deployment.MaxStayAway))
+		return
+	}
+	if p.jobs[j.id] != nil {
+		p.badInput(&msgrpc.Fault{Number: j.number, Text: "ref: open already"})
+		if other := p.jobs[j.id]; other.client == j.client && !other.state.Given { // which of the two was meant?
+			p.core.Left(now, other.id)
+			p.finish(other, msgrpc.Invalid(other.number, "ref: sent twice"))
+		}
+		p.finish(j, msgrpc.Invalid(j.number, "ref: open already"))
+		return
+	}
+	p.jobs[j.id] = j
+	err := p.core.Arrived(now, control.Job{ID: j.id, Workload: j.workload, Tenant: j.tenant, Function: j.ask.FunctionID(),
+		Lanes: j.ask.Lanes, Work: j.ask.Work, LoadTime: j.ask.LoadTime, Arrived: now,
+		Patience: now + max(0, j.ask.Patience-onTheWay), Repeat: j.ask.Repeat})
+	if err != nil {
+		p.log.Error().Err(err).Msg("job not taken")
+		delete(p.jobs, j.id)
+		p.finish(j, msgrpc.PushedBack(j.number, p.told.Deployment.MaxStayAway))
+	}
+}
+
+// left tells whether the client has no use for an answer any more.
+func (c *client) left(j *job) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.gone || c.open[j.number] != j
+}
+
+// finish gives a job its one final answer.
+func (p *Platform) finish(j *job, data []byte) {
+	if !j.state.Give() {
+		return
+	}
+	for _, s := range j.executions { // nothing is sent for a job that has its answer
+		s.withdraw()
+	}
+	j.client.answer(j, data)
+	p.release(j)
+}
+
+// release forgets a job that has its answer and no execution out.
+func (p *Platform) release(j *job) {
+	if j.state.Over() && p.jobs[j.id] == j {
+		delete(p.jobs, j.id)
+	}
+}
+
+// left takes in that a job's client no longer waits.
+func (p *Platform) left(now control.Micros, j *job) {
+	j.client.mu.Lock()
+	if j.client.open[j.number] == j {
+		delete(j.client.open, j.number)
+	}
+	j.client.mu.Unlock()
+	if j.state.Given || p.jobs[j.id] != j {
+		return
+	}
+	p.core.Left(now, j.id)
+	p.finish(j, nil)
+}
+
+// Send starts an execution.
+func (p *Platform) Send(cj *control.Job, no control.ExecutionID, to control.ServerID, allow control.Micros) {
+	j := p.jobs[cj.ID]
+	s := p.sending(to, allow)
+	s.job, s.no, s.id = j, no, binframe.ID(j.id)
+	if w := p.told.Deployment.Workloads[j.workload]; w.Effect == control.Fingerprinted {
+		for _, e := range cj.Executions[:no] {
+			if e.MayRun { // the group must still remember it when this one comes
+				s.until = min(s.until, e.Sent+w.Window-onTheWay)
+			}
+		}
+	}
+	j.executions = append(j.executions, s)
+	j.state.Sent()
+	x := binframe.Execution{ID: s.id, Class: j.ask.Class, Function: j.ask.Function, Mark: j.ask.Mark, Allow: allow, Body: j.ask.Body}
+	p.dispatch(p.clock, s, x.Frame())
+}
+
+func (p *Platform) sending(to control.ServerID, allow control.Micros) *sending {
+	return &sending{p: p, to: to, chosen: p.clock, deadline: p.clock + allow,
+		until: p.clock + min(allow, attempt.Fresh(p.told.grace))}
+}
+
+// PushBack and Kill end a job.
+func (p *Platform) PushBack(id control.JobID, stayAway control.Micros) {
+	j := p.jobs[id]
+	p.finish(j, msgrpc.PushedBack(j.number, stayAway))
+}
+
+// Kill ends a job of which nothing may be promised.
+func (p *Platform) Kill(id control.JobID) {
+	j := p.jobs[id]
+	p.finish(j, msgrpc.Killed(j.number))
+}
+
+// CallOff stops waiting for an execution.
+func (p *Platform) CallOff(id control.JobID, no control.ExecutionID) {
+	j := p.jobs[id]
+	if j == nil || int(no) >= len(j.executions) {
+		return
+	}
+	s := j.executions[no]
+	if !s.state.CallOff() {
+		return
+	}
+	result := control.Cancelled
+	if s.withdraw() {
+		result = control.NeverSent
+	} else {
+		p.giveUp(s)
+	}
+	p.box.Tell(func(now control.Micros) { p.ended(now, s, result, nil) })
+}
+
+// Order orders copies of a job's function.
+func (p *Platform) Order(_ *control.Job, o control.Order) {
+	s := p.sending(o.Server, p.told.orderLimit)
+	s.order, s.id = o, p.orderID()
+	p.dispatch(p.clock, s, binframe.Order(s.id, o.Function, o.Copies))
+}
+
+// Subscribe has nothing to do: the board is followed in any case.
+func (p *Platform) Subscribe() {}
+
+// Note writes a line in the log.
+func (p *Platform) Note(text string) { p.log.Info().Msg(text) }
+
+// Alarm sets the one timer.
+func (p *Platform) Alarm(at control.Micros) {
+	p.due = at
+	p.timer.Reset(span(max(0, at-p.now())))
+}
+
+// executed takes in the end of an execution.
+func (p *Platform) executed(now control.Micros, s *sending, o control.Outcome, a *binframe.Answer) {
+	j := s.job
+	if j.state.Ended(o.Result) == attempt.Deliver {
+		o.JobOver = true
+		p.core.Answered(now, j.id, o)
+		p.finish(j, msgrpc.Finished(j.number, a.Body))
+		return
+	}
+	p.core.Answered(now, j.id, o)
+	p.release(j)
+}
+
+// inOrder gives what is open on a connection in an order of its own: never that of a map.
+func inOrder(open map[binframe.ID]*sending) []*sending {
+	all := make([]*sending, 0, len(open))
+	for _, s := range open {
+		all = append(all, s)
+	}
+	slices.SortFunc(all, func(a, b *sending) int { return cmp.Compare(a.id, b.id) })
+	return all
+}
+
+// count notes what is out of order; one line tells of all in some seconds, so that a flood costs no log.
+func (p *Platform) count(what string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.counts[what]++
+}
+
+func (p *Platform) badInput(f *msgrpc.Fault) { p.count("bad message: " + f.Text) }
+
+// tell writes that line.
+func (p *Platform) tell() {
+	p.mu.Lock()
+	var parts []string
+	for what, n := range p.counts {
+		parts = append(parts, fmt.Sprintf("%s: %d", what, n))
+	}
+	clear(p.counts)
+	clients := len(p.clients)
+	p.mu.Unlock()
+	slices.Sort(parts)
+	p.log.Info().Int("clients", clients).Int("server_connections", p.linked).Int("jobs", len(p.jobs)).Int("held", p.core.Held()).
+		Str("out_of_order", strings.Join(parts, "; ")).Msg("state")
+}
+
+// trace tells of one execution, where the log is told to.
+func (p *Platform) trace(now control.Micros, s *sending, result control.Result) {
+	if e := p.log.Debug(); e != nil {
+		e.Str("job", fmt.Sprintf("%016x", uint64(s.id))).Bool("order", s.job == nil).Uint64("server", uint64(s.to)).Int64("chosen", int64(s.chosen)).
+			Bool("whole", s.whole.Load()).Int64("answered", int64(now)).Uint8("result", uint8(result)).Msg("execution")
+	}
+}
--- /dev/null
+++ b/internal/platform/servers.go
@@ -0,0 +1,360 @@
+package platform
+
+import (
+	"bufio"
+	"errors"
+	"net"
+	"os"
+	"sync/atomic"
+	"time"
+
+	"hollymast/control"
+	"hollymast/internal/attempt"
+	"hollymast/internal/binframe"
+	"hollymast/internal/terms"
+)
+
+// pool is the connections to one life of one server. The turn owns it.
+type pool struct {
+	id      control.ServerID
+	address string
+	born    control.Micros
+	links   []*link
+}
+
+// link is one connection to a server. The turn owns all but the outbox; a goroutine dials and reads.
+type link struct {
+	p       *Platform
+	pool    *pool
+	box     outbox
+	out     map[binframe.ID]*sending
+	up      bool // the turn has heard that it stands
+	retired bool // takes nothing new: an answer is owed that nobody waits for, or its server is gone
+	since   control.Micros
+	partial atomic.Bool // a write ended within a frame
+}
+
+// sending is one execution or order on its way.
+type sending struct {
+	p        *Platform
+	job      *job // nil of an order
+	no       control.ExecutionID
+	order    control.Order
+	id       binframe.ID
+	to       control.ServerID
+	link     *link // nil: none was had
+	chosen   control.Micros
+	until    control.Micros // it is not written later
+	deadline control.Micros
+	stage    atomic.Int32 // an attempt.Stage
+	whole    atomic.Bool  // its last byte was written
+	state    attempt.Sending
+	timer    *time.Timer
+}
+
+// step takes a step of the stage that the turn and the connection share.
+func (s *sending) step(f func(attempt.Stage) (attempt.Stage, bool)) bool {
+	for {
+		old := s.stage.Load()
+		next, ok := f(attempt.Stage(old))
+		if !ok || s.stage.CompareAndSwap(old, int32(next)) {
+			return ok
+		}
+	}
+}
+
+func (s *sending) withdraw() bool { return s.step(attempt.Stage.Withdraw) }
+
+// begin is asked right before the first byte.
+func (s *sending) begin() bool {
+	now := s.p.now()
+	ok := s.step(func(st attempt.Stage) (attempt.Stage, bool) { return st.Write(true, now, s.until) })
+	if !ok {
+		s.p.box.Tell(func(now control.Micros) {
+			s.withdraw()
+			s.p.ended(now, s, control.NeverSent, nil)
+		})
+	}
+	return ok
+}
+
+func (s *sending) wrote(whole bool) {
+	s.whole.Store(whole)
+	if !whole {
+		s.link.partial.Store(true)
+	}
+}
+
+// dispatch hands a sending to a connection.
+func (p *Platform) dispatch(now control.Micros, s *sending, frame []byte) {
+	l := p.link(now, s)
+	s.timer = time.AfterFunc(span(max(0, s.deadline-now)), func() {
+		p.box.Tell(func(now control.Micros) { p.late(now, s) })
+	})
+	if l != nil {
+		s.link = l
+		l.out[s.id] = s
+		if l.box.post(parcel{data: frame, begin: s.begin, wrote: s.wrote}) {
+			return
+		}
+		delete(l.out, s.id)
+	}
+	// Never sent; told in the next turn, since this one is still asking.
+	p.box.Tell(func(now control.Micros) { p.ended(now, s, control.NeverSent, nil) })
+}
+
+// link finds a connection: one with nothing open, else a new one, else the one with the least open. One execution a
+// connection as long as descriptors last: a spoilt answer costs all that is open on its connection.
+func (p *Platform) link(now control.Micros, s *sending) *link {
+	pl := p.pools[s.to]
+	if pl == nil {
+		server := p.fleet.Get(s.to)
+		pl = &pool{id: s.to, address: server.Address, born: control.Micros(server.Told.Born)}
+		p.pools[s.to] = pl
+	}
+	var best *link
+	for _, l := range pl.links {
+		if l.retired || l.out[s.id] != nil || len(l.out) >= p.told.streams {
+			continue
+		}
+		if best == nil || len(l.out) < len(best.out) || len(l.out) == len(best.out) && l.since > best.since {
+			best = l
+		}
+	}
+	if best != nil && len(best.out) == 0 || p.linked >= p.mostLinks && !p.freeLink() {
+		return best
+	}
+	l := &link{p: p, pool: pl, out: map[binframe.ID]*sending{}, since: now}
+	l.box.most = linkUnread
+	pl.links = append(pl.links, l)
+	p.linked++
+	go l.serve()
+	return l
+}
+
+// linkUnread is how much may wait for a server to read: with the longest bodies, as many as share a connection.
+const linkUnread = 2 << 20
+
+// freeLink closes the connection that has been idle for longest, of any server.
+func (p *Platform) freeLink() bool {
+	var oldest *link
+	for _, pl := range p.pools {
+		for _, l := range pl.links {
+			if len(l.out) == 0 && l.up && (oldest == nil || l.since < oldest.since) {
+				oldest = l
+			}
+		}
+	}
+	if oldest == nil {
+		return false
+	}
+	p.drop(oldest)
+	return true
+}
+
+// drop forgets a connection and closes it after what waits to be written.
+func (p *Platform) drop(l *link) {
+	l.retired = true
+	for i, other := range l.pool.links {
+		if other == l {
+			l.pool.links = append(l.pool.links[:i], l.pool.links[i+1:]...)
+			p.linked--
+			break
+		}
+	}
+	l.box.end()
+}
+
+// retire has a connection take nothing new; it ends with the last that is open on it.
+func (p *Platform) retire(l *link) {
+	if l.retired = true; len(l.out) == 0 {
+		p.drop(l)
+	}
+}
+
+// stallMost is how long an answer that has begun may take: it is written in one piece.
+const stallMost = time.Second
+
+func (l *link) serve() {
+	p := l.p
+	conn, err := net.DialTimeout("tcp", l.pool.address, span(p.told.connecting))
+	if err != nil {
+		l.box.close()
+		p.count("no connection to a server")
+		p.box.Tell(func(now control.Micros) { p.broke(now, l, control.NoConnection) })
+		return
+	}
+	l.box.up(conn)
+	p.box.Tell(func(control.Micros) { l.up = true })
+	in := bufio.NewReaderSize(conn, 2<<10)
+	for {
+		conn.SetReadDeadline(time.Time{})
+		a, err := binframe.Read(in, func() { conn.SetReadDeadline(time.Now().Add(stallMost)) })
+		if err != nil {
+			l.box.close()
+			result := control.Reset
+			if errors.Is(err, os.ErrDeadlineExceeded) || errors.Is(err, binframe.ErrMark) || errors.Is(err, binframe.ErrCode) ||
+				errors.Is(err, binframe.ErrLength) || errors.Is(err, binframe.ErrCheck) {
+				// The server answers; what it said can't be read.
+				result = control.Errored
+				p.count("spoilt answer: " + err.Error())
+			}
+			p.box.Tell(func(now control.Micros) { p.broke(now, l, result) })
+			return
+		}
+		p.box.Tell(func(now control.Micros) { p.heard(now, l, a) })
+	}
+}
+
+// heard takes in an answer. One that nobody waits for, or a second one, is dropped: it harms nothing else.
+func (p *Platform) heard(now control.Micros, l *link, a *binframe.Answer) {
+	s := l.out[a.ID]
+	if s == nil || a.Probe {
+		return
+	}
+	if !s.whole.Load() && s.stage.Load() != int32(attempt.Writing) {
+		return // an answer to what was not asked yet
+	}
+	p.ended(now, s, a.Result, a)
+}
+
+// broke takes in the end of a connection: what it means to each sending follows from how far that had got.
+func (p *Platform) broke(now control.Micros, l *link, result control.Result) {
+	open := l.out
+	p.drop(l)
+	for _, s := range inOrder(open) {
+		r := result
+		switch {
+		case s.withdraw():
+			if r != control.NoConnection {
+				r = control.NeverSent
+			}
+		case attempt.Stage(s.stage.Load()) == attempt.Withdrawn:
+			r = control.NeverSent
+		case l.partial.Load() && !s.whole.Load():
+			r = control.NeverSent // its frame did not come whole
+		}
+		p.ended(now, s, r, nil)
+	}
+}
+
+// late takes in that a sending's time is up.
+func (p *Platform) late(now control.Micros, s *sending) {
+	if s.state.Over {
+		return
+	}
+	if s.withdraw() {
+		p.ended(now, s, control.NeverSent, nil)
+		return
+	}
+	p.giveUp(s)
+	p.ended(now, s, control.TimedOut, nil)
+}
+
+// giveUp tells the server that nobody waits. The answer may be on its way, or never come: its connection takes nothing
+// new.
+func (p *Platform) giveUp(s *sending) {
+	if s.link == nil || s.state.Over {
+		return
+	}
+	if s.job != nil && p.told.Deployment.Cancels {
+		s.link.box.post(parcel{data: binframe.GiveUp(s.id)})
+	}
+	s.link.retired = true
+}
+
+// ended takes in the end of a sending, once.
+func (p *Platform) ended(now control.Micros, s *sending, result control.Result, a *binframe.Answer) {
+	if !s.state.End() {
+		return
+	}
+	s.timer.Stop()
+	if l := s.link; l != nil && l.out[s.id] == s {
+		delete(l.out, s.id)
+		if l.since = now; l.retired && len(l.out) == 0 {
+			p.drop(l)
+		}
+	}
+	if s.state.Off && result != control.Finished && !result.ProvesUnrun() {
+		result = control.Cancelled
+	}
+	p.trace(now, s, result)
+	took := now - s.chosen
+	if s.job == nil {
+		copies := 0
+		if a != nil && result == control.Finished {
+			if copies = a.Copies; copies < 0 {
+				copies = s.order.Copies // an answer that tells no number has done what was asked
+			}
+		}
+		p.core.Loaded(now, s.to, s.order.Function, result, took, copies)
+		return
+	}
+	o := control.Outcome{Execution: s.no, Server: s.to, Result: result, Took: took}
+	if a != nil {
+		o.Found, o.Report = a.Found, p.report(a)
+	}
+	p.executed(now, s, o, a)
+}
+
+// report puts what an answer reports in the order that the settings name.
+func (p *Platform) report(a *binframe.Answer) *control.Report {
+	if a.Reports == nil {
+		return nil
+	}
+	values := make([]float32, len(p.told.reports))
+	for i, name := range p.told.reports {
+		v, told := a.Reports[reported[name]]
+		if !told {
+			v = -1
+		}
+		values[i] = float32(v)
+	}
+	return terms.Report(p.told.reports, values)
+}
+
+// reported maps what the settings name to the simulator's names, which the answers use.
+var reported = map[string]string{"cpu_share": "util", "x0": "x0", "x1": "x1"}
+
+// orderID is an id for an order that is none of a job's on any connection.
+func (p *Platform) orderID() binframe.ID {
+	for {
+		id := binframe.ID(p.chance.Uint64())
+		if p.jobs[control.JobID(id)] == nil {
+			return id
+		}
+	}
+}
+
+// prune closes connections that are idle for nearly as long as servers allow, and forgets servers that are gone.
+func (p *Platform) prune(now control.Micros) {
+	const every = 500_000 // idle times are many seconds
+	if now < p.pruned+every {
+		return
+	}
+	p.pruned = now
+	for id, pl := range p.pools {
+		for i := len(pl.links) - 1; i >= 0; i-- {
+			if l := pl.links[i]; len(l.out) == 0 && l.up && now-l.since > p.told.idle*3/4 {
+				p.drop(l)
+			}
+		}
+		s := p.fleet.Get(id)
+		if len(pl.links) == 0 && (s == nil || s.State == control.Gone) {
+			delete(p.pools, id)
+		}
+	}
+	p.fleet.Forget(now, func(id control.ServerID) bool { return p.pools[id] != nil })
+}
+
+// unlist takes back all that is not being written to a server that takes nothing new, and its connections with the rest.
+func (p *Platform) unlist(now control.Micros, pl *pool) {
+	for _, l := range append([]*link(nil), pl.links...) {
+		for _, s := range inOrder(l.out) {
+			if s.withdraw() {
+				p.ended(now, s, control.NeverSent, nil)
+			}
+		}
+		p.retire(l)
+	}
+}
--- a/internal/wire/bootinfo.go
+++ b/internal/wire/bootinfo.go
@@ -9,12 +9,15 @@
 type BootInfo struct {
 	Balancers int `json:"balancers"`
 	Ceilings  struct {
-		Cancel        bool  `json:"cancel"`
-		MaxRetryAfter int64 `json:"max_retry_after"`
-		ParallelTries bool  `json:"parallel_tries"`
-		Probes        bool  `json:"probes"`
-		RetryAfter    bool  `json:"retry_after"`
-		TryLimit      int   `json:"try_limit"`
+		Cancel         bool  `json:"cancel"`
+		ConnIdle       int64 `json:"conn_idle"`
+		ConnectTimeout int64 `json:"connect_timeout"`
+		MaxRetryAfter  int64 `json:"max_retry_after"`
+		ParallelTries  bool  `json:"parallel_tries"`
+		Probes         bool  `json:"probes"`
+		RetryAfter     bool  `json:"retry_after"`
+		StreamsPerConn int   `json:"streams_per_conn"`
+		TryLimit       int   `json:"try_limit"`
 	} `json:"ceilings"`
 	Classes []struct {
 		Aim        int64   `json:"aim"`
@@ -23,6 +26,7 @@
 		Importance float64 `json:"importance"`
 		KeyScope   string  `json:"key_scope"`
 		LateValue  float64 `json:"late_value"`
+		Name       string  `json:"name"`
 		Semantics  string  `json:"semantics"`
 		Window     int64   `json:"window"`
 	} `json:"classes"`
@@ -35,9 +39,11 @@
 		ColdFrom     float64 `json:"cold_from"`
 		Fall         int64   `json:"fall"`
 		FallMultiple float64 `json:"fall_multiple"`
+		StopSending  int64   `json:"stop_sending_within"`
 	} `json:"contract"`
 	Customers []struct {
 		AllowancePerS float64 `json:"allowance_per_s"`
+		Name          string  `json:"name"`
 	} `json:"customers"`
 	Discovery string `json:"discovery"`
 	Report    struct {
@@ -46,17 +52,20 @@
 	} `json:"report"`
 	SelfIndex int `json:"self_index"`
 	Specifics struct {
-		CountsAlike bool    `json:"counts_alike"`
-		LingerIdle  int64   `json:"linger_idle"`
-		LoadControl bool    `json:"load_control"`
-		LoadPart    float64 `json:"load_part"`
-		LoadWindow  int64   `json:"load_window"`
-		LoadsAnyway float64 `json:"loads_anyway"`
-		MarksCold   bool    `json:"marks_cold"`
-		WhenAbsent  string  `json:"when_absent"`
+		CountsAlike  bool      `json:"counts_alike"`
+		KindMemoryMB []float64 `json:"kind_memory_mb"`
+		LingerIdle   int64     `json:"linger_idle"`
+		LoadControl  bool      `json:"load_control"`
+		LoadPart     float64   `json:"load_part"`
+		LoadWindow   int64     `json:"load_window"`
+		LoadsAnyway  float64   `json:"loads_anyway"`
+		MarksCold    bool      `json:"marks_cold"`
+		OrderLimit   int64     `json:"order_limit"`
+		WhenAbsent   string    `json:"when_absent"`
 	} `json:"specifics"`
-	Tick int64  `json:"tick"`
-	Zone uint16 `json:"zone"`
+	Tick  int64    `json:"tick"`
+	Zone  uint16   `json:"zone"`
+	Zones []string `json:"zones"`
 }
 
 // ReadBootInfo reads the start settings.
