--- /dev/null
+++ b/internal/binframe/binframe_test.go
@@ -0,0 +1,118 @@
+package binframe
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/binary"
+	"errors"
+	"hash/crc32"
+	"io"
+	"testing"
+
+	"hollymast/control"
+)
+
+// answer builds a server's frame.
+func answer(code byte, id uint64, fields string, body []byte) []byte {
+	b := []byte{theirs, code}
+	b = binary.BigEndian.AppendUint16(b, uint16(len(fields)))
+	b = binary.BigEndian.AppendUint32(b, uint32(len(body)))
+	b = binary.BigEndian.AppendUint64(b, id)
+	rest := append([]byte(fields), body...)
+	return binary.BigEndian.AppendUint32(append(b, rest...), crc32.ChecksumIEEE(rest))
+}
+
+func read1(in []byte) (*Answer, error) {
+	return Read(bufio.NewReader(bytes.NewReader(in)), func() {})
+}
+
+func TestExecutionFrame(t *testing.T) {
+	x := Execution{ID: 0x9b1f03aa5c7e2d41, Class: "infer", Function: "7f3a9c21e0b4d655", Mark: "aa", Allow: 1_500_999, Body: []byte("xyz")}
+	fields := "profile=infer,thing=7f3a9c21e0b4d655,max=1500,replay=aa"
+	want := answer(codeRequest, uint64(x.ID), fields, x.Body)
+	want[0] = ours
+	if got := x.Frame(); !bytes.Equal(got, want) {
+		t.Errorf("got %q, want %q", got, want)
+	}
+}
+
+func TestOrderFrame(t *testing.T) {
+	want := answer(codeLoad, 5, "thing=00000000000000ff,pods=2", nil)
+	want[0] = ours
+	if got := Order(5, 0xff, 2); !bytes.Equal(got, want) {
+		t.Errorf("got %q, want %q", got, want)
+	}
+}
+
+func TestReadsAnswers(t *testing.T) {
+	for code, want := range map[byte]control.Result{codeOK: control.Finished, codeMiss: control.Missing, codeFull: control.Full,
+		codeError: control.Errored, codeOver: control.NeverSent} {
+		a, err := read1(answer(code, 7, "remark=rode,pods=3,report=inflight:7;util:0.61", []byte("x")))
+		if err != nil || a.ID != 7 || a.Result != want || a.Found != control.JoinedLoad || a.Copies != 3 || a.Reports["util"] != 0.61 ||
+			string(a.Body) != "x" {
+			t.Errorf("code %d: %+v, %v", code, a, err)
+		}
+	}
+}
+
+func TestSpoiltAnswers(t *testing.T) {
+	good := answer(codeOK, 7, "remark=resident", []byte("body"))
+	for name, c := range map[string]struct {
+		at   int
+		put  []byte
+		want error
+	}{
+		"mark":   {0, []byte{1}, ErrMark},
+		"code":   {1, []byte{1}, ErrCode},
+		"3 GB":   {4, []byte{0xc0, 0, 0, 0}, ErrLength},
+		"body":   {len(good) - 6, []byte{0}, ErrCheck},
+		"fields": {18, []byte{0}, ErrCheck},
+	} {
+		in := bytes.Clone(good)
+		copy(in[c.at:], c.put)
+		if _, err := read1(in); !errors.Is(err, c.want) {
+			t.Errorf("%s: got %v, want %v", name, err, c.want)
+		}
+	}
+}
+
+func TestTruncatedAtEachByte(t *testing.T) {
+	good := answer(codeOK, 7, "remark=resident", []byte("body"))
+	for n := range good {
+		if _, err := read1(good[:n]); !errors.Is(err, io.EOF) && !errors.Is(err, io.ErrUnexpectedEOF) {
+			t.Errorf("after %d bytes: %v", n, err)
+		}
+	}
+}
+
+// A claimed length costs only what comes of it.
+func TestClaimedLengthCostsLittle(t *testing.T) {
+	claim := answer(codeOK, 7, "", nil)
+	binary.BigEndian.PutUint32(claim[4:], MaxBody)
+	r := testing.Benchmark(func(b *testing.B) {
+		b.ReportAllocs()
+		for range b.N {
+			read1(claim[:headLength])
+		}
+	})
+	if r.AllocedBytesPerOp() > 64<<10 {
+		t.Errorf("%d bytes for a header", r.AllocedBytesPerOp())
+	}
+}
+
+func FuzzRead(f *testing.F) {
+	f.Add(answer(codeOK, 7, "remark=resident", []byte("body")))
+	f.Add(answer(codeReports, 7, "report=util:NaN;x:", nil))
+	f.Fuzz(func(t *testing.T, in []byte) {
+		r := bufio.NewReader(bytes.NewReader(in))
+		for {
+			a, err := Read(r, func() {})
+			if err != nil {
+				return
+			}
+			if len(a.Body) > MaxBody {
+				t.Errorf("%d bytes", len(a.Body))
+			}
+		}
+	})
+}
--- /dev/null
+++ b/internal/board/board_test.go
@@ -0,0 +1,141 @@
+package board
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"net"
+	"testing"
+	"time"
+
+	"hollymast/internal/fleet"
+)
+
+func event(rev int, all bool, uid, endpoint, state string) string {
+	return fmt.Sprintf(`{"rev":%d,"pool":{"rev":1,"all":%v,"targets":[{"uid":%q,"endpoint":%q,"az":"east","pod_group":2,`+
+		`"state":%q,"capacity_hint":4,"boot_ms":0}]}}`, rev, all, uid, endpoint, state)
+}
+
+func TestLines(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		line    string
+		meaning Meaning
+		fails   bool
+		servers int
+	}{
+		{"a further server", event(4, false, "b", "10.0.0.2:1", "ready"), Changed, false, 2},
+		{"one that goes", event(4, false, "a", "", "gone"), Changed, false, 0},
+		{"the whole list", event(4, true, "c", "10.0.0.3:1", "draining"), Changed, false, 1},
+		{"an old event again", event(3, true, "c", "10.0.0.3:1", "ready"), Nothing, false, 1},
+		{"one after a gap", event(5, true, "c", "10.0.0.3:1", "ready"), AskAgain, false, 1},
+		{"a number we have", "3", Nothing, false, 1},
+		{"a number we lack", "4", AskAgain, false, 1},
+		{"no number", "x3", Nothing, true, 1},
+		{"a broken event", event(4, false, "b", "10.0.0.2:1", "ready")[:80], Nothing, true, 1},
+		{"an unknown state", event(4, true, "b", "10.0.0.2:1", "asleep"), Nothing, true, 1},
+	} {
+		var s State
+		s.Known(Known{Rev: 3})
+		s.Asked()
+		s.last = 2
+		if _, err := s.Line([]byte(event(3, true, "a", "10.0.0.1:1", "ready"))); err != nil {
+			t.Fatal(err)
+		}
+		meaning, err := s.Line([]byte(c.line + "\n"))
+		if meaning != c.meaning || (err != nil) != c.fails || len(s.List()) != c.servers {
+			t.Errorf("%s: %v, %v, %d servers", c.name, meaning, err, len(s.List()))
+		}
+	}
+}
+
+// plane listens as a board and hands over each connection with the number that was asked from.
+func plane(t *testing.T) (string, chan net.Conn, chan string) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	conns, asked := make(chan net.Conn, 8), make(chan string, 8)
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			line, _ := bufio.NewReader(c).ReadString('\n')
+			asked <- line
+			conns <- c
+		}
+	}()
+	return l.Addr().String(), conns, asked
+}
+
+// follow starts a follower that ends with the test.
+func follow(t *testing.T, address string) (*Follower, chan []fleet.Entry) {
+	t.Helper()
+	told := make(chan []fleet.Entry, 8)
+	f := NewFollower(State{}, address, func(list []fleet.Entry) { told <- list }, func(string, error) {})
+	ctx, stop := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	go func() { f.Follow(ctx); close(ended) }()
+	t.Cleanup(func() { stop(); <-ended })
+	return f, told
+}
+
+func next[T any](t *testing.T, what string, c <-chan T) T {
+	t.Helper()
+	select {
+	case v := <-c:
+		return v
+	case <-time.After(4 * time.Second): // by then all counts as told
+		t.Fatalf("not within 4 s: %s", what)
+		panic("not reached")
+	}
+}
+
+func TestFollowerAsksAgainAfterABreakWithinAnEvent(t *testing.T) {
+	address, conns, asked := plane(t)
+	_, told := follow(t, address)
+	c := next(t, "a connection", conns)
+	next(t, "a question", asked)
+	fmt.Fprint(c, event(1, true, "a", "10.0.0.1:1", "ready"), "\n", event(2, false, "b", "10.0.0.2:1", "ready")[:60])
+	next(t, "the first list", told)
+	c.Close()
+	c = next(t, "another connection", conns)
+	if line := next(t, "another question", asked); line != "watch 1\n" {
+		t.Errorf("asked %q", line)
+	}
+	fmt.Fprintln(c, event(2, false, "b", "10.0.0.2:1", "ready"))
+	if list := next(t, "the second list", told); len(list) != 2 {
+		t.Errorf("got %v", list)
+	}
+}
+
+func TestFollowerAsksAgainAfterSilence(t *testing.T) {
+	address, conns, asked := plane(t)
+	follow(t, address)
+	next(t, "a connection", conns) // and nothing is said on it
+	next(t, "a question", asked)
+	next(t, "another connection", conns)
+}
+
+func TestFollowerTurnsToAnotherAddress(t *testing.T) {
+	address, conns, asked := plane(t)
+	f, told := follow(t, address)
+	c := next(t, "a connection", conns)
+	next(t, "a question", asked)
+	fmt.Fprintln(c, event(1, true, "a", "10.0.0.1:1", "ready"))
+	next(t, "the first list", told)
+	other, conns, asked := plane(t)
+	f.Turn(other, Known{})
+	c = next(t, "a connection elsewhere", conns)
+	if line := next(t, "a question elsewhere", asked); line != "watch 1\n" {
+		t.Errorf("asked %q", line)
+	}
+	fmt.Fprintln(c, event(2, false, "a", "", "gone"))
+	if list := next(t, "the second list", told); len(list) != 0 {
+		t.Errorf("got %v", list)
+	}
+}
--- a/internal/msgrpc/msgrpc.go
+++ b/internal/msgrpc/msgrpc.go
@@ -112,7 +112,7 @@
 		return nil, f
 	}
 	n, err := r.array()
-	if err != nil {
+	if err != nil || n != 3 && n != 4 {
 		return fault("not a message", err)
 	}
 	kind, err := r.number(math.MaxUint32)
--- /dev/null
+++ b/internal/platform/platform_test.go
@@ -0,0 +1,504 @@
+package platform
+
+import (
+	"bufio"
+	"context"
+	"encoding/binary"
+	"encoding/json"
+	"fmt"
+	"hash/crc32"
+	"io"
+	"net"
+	"os"
+	"path/filepath"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/vmihailenco/msgpack/v5"
+	"go.uber.org/goleak"
+
+	"hollymast/control"
+	"hollymast/internal/binframe"
+	"hollymast/internal/board"
+	"hollymast/internal/fleet"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+const settings = `{"balancers": 1, "tick": 1000, "zones": ["east"], "report": {"fields": ["cpu_share"], "how": "on_probe"},
+	"ceilings": {"cancel": true, "conn_idle": 15000000, "connect_timeout": 250000, "max_retry_after": 2000000, "retry_after": true,
+		"streams_per_conn": 100, "try_limit": 3},
+	"classes": [{"name": "again", "aim": 1000000, "hard_limit": 4000000, "importance": 1, "semantics": "pure", "window": 0},
+		{"name": "once", "aim": 1000000, "hard_limit": 4000000, "importance": 1, "semantics": "side_effect", "window": 0},
+		{"name": "marked", "aim": 1000000, "hard_limit": 4000000, "importance": 1, "semantics": "token", "key_scope": "all", "window": 5000000}],
+	"clients": {"marks_retry": true}, "contract": {"stop_sending_within": 500000}, "customers": [{"name": "acme", "allowance_per_s": 100}],
+	"specifics": {"when_absent": "load", "linger_idle": 9000000, "order_limit": 4000000, "kind_memory_mb": [1000], "load_control": true}}`
+
+// event is one of the board, of one server.
+func event(rev int, uid, endpoint, state string) board.Event {
+	return board.Event{Rev: uint64(rev), Pool: &board.Pool{All: rev == 1, Targets: []board.Target{
+		{UID: uid, Endpoint: endpoint, Zone: "east", Power: 4, State: state}}}}
+}
+
+// plane is a board that tells nothing but its number.
+func plane(t *testing.T, last int, events ...board.Event) string {
+	l := listen(t)
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				for _, e := range events {
+					text, _ := json.Marshal(e)
+					fmt.Fprintf(c, "%s\n", text)
+				}
+				for range 100 {
+					if _, err := fmt.Fprintln(c, last); err != nil {
+						return
+					}
+					time.Sleep(100 * time.Millisecond)
+				}
+			}()
+		}
+	}()
+	return l.Addr().String()
+}
+
+func listen(t *testing.T) net.Listener {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	return l
+}
+
+// asked is one frame that a stand-in server got.
+type asked struct {
+	code byte
+	id   uint64
+	body []byte
+	nth  int // of this server
+	conn net.Conn
+}
+
+func (a asked) answer(code byte, id uint64, body string) []byte {
+	fields := "remark=resident"
+	b := append([]byte{108, code}, 0, byte(len(fields)))
+	b = binary.BigEndian.AppendUint32(b, uint32(len(body)))
+	b = binary.BigEndian.AppendUint64(b, id)
+	rest := fields + body
+	return binary.BigEndian.AppendUint32(append(b, rest...), crc32.ChecksumIEEE([]byte(rest)))
+}
+
+// worker is a stand-in for a model server: do is called for each execution.
+func worker(t *testing.T, do func(a asked)) string {
+	l := listen(t)
+	var nth atomic.Int32
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				in := bufio.NewReader(c)
+				for {
+					var head [16]byte
+					if _, err := io.ReadFull(in, head[:]); err != nil {
+						return
+					}
+					fields := int(binary.BigEndian.Uint16(head[2:]))
+					rest := make([]byte, fields+int(binary.BigEndian.Uint32(head[4:]))+4)
+					if _, err := io.ReadFull(in, rest); err != nil {
+						return
+					}
+					if head[1] == 65 {
+						do(asked{head[1], binary.BigEndian.Uint64(head[8:]), rest[fields : len(rest)-4], int(nth.Add(1)), c})
+					}
+				}
+			}()
+		}
+	}()
+	return l.Addr().String()
+}
+
+// good answers with the body that it got.
+func good(a asked) { a.conn.Write(a.answer(97, a.id, string(a.body))) }
+
+// running is a router that serves until the test ends.
+type running struct {
+	*Platform
+	stop  context.CancelFunc
+	ended chan struct{}
+}
+
+func start(t *testing.T, boardAt string, servers ...string) *running {
+	t.Helper()
+	text := fmt.Sprintf(`{"name": "n0", "listen": "127.0.0.1:0", "seed": "8c1f30d27a5be964", "board": %q,
+		"limits": {"cores": 1, "memory_mb": 64, "sockets": 256}, "known": {"rev": 0, "notices": []}, "settings": %s}`, boardAt, settings)
+	told, err := parseTold([]byte(text), Environment{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for i, address := range servers {
+		told.Known.Notices = append(told.Known.Notices, event(i+1, fmt.Sprintf("s-%d", i), address, "ready"))
+	}
+	told.Known.Rev = uint64(len(servers))
+	p, err := New(told, zerolog.Nop())
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	r := &running{p, stop, make(chan struct{})}
+	go func() { p.Serve(ctx); close(r.ended) }()
+	t.Cleanup(func() { stop(); <-r.ended })
+	return r
+}
+
+// caller is a client on one connection.
+type caller struct {
+	t    *testing.T
+	conn net.Conn
+	dec  *msgpack.Decoder
+}
+
+func (r *running) caller(t *testing.T) *caller {
+	t.Helper()
+	conn, err := net.Dial("tcp", r.Address())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { conn.Close() })
+	conn.SetDeadline(time.Now().Add(5 * time.Second))
+	return &caller{t, conn, msgpack.NewDecoder(conn)}
+}
+
+func (c *caller) send(v ...any) {
+	b, err := msgpack.Marshal(v)
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	c.conn.Write(b)
+}
+
+func (c *caller) call(number int, class string, changes ...string) {
+	f := map[string]string{"ref": fmt.Sprintf("%016x", number), "allow": "1500", "project": "acme", "lookup": "7f3a9c21e0b4d655",
+		"spec": "memory_mb:512;lanes:2"}
+	for i := 0; i < len(changes); i += 2 {
+		f[changes[i]] = changes[i+1]
+	}
+	c.send(0, number, class, []any{f, []byte(fmt.Sprint("body ", number))})
+}
+
+// heard gives the next answer as "number: what", or what ended the connection.
+func (c *caller) heard() string {
+	v, err := c.dec.DecodeSlice()
+	if err != nil {
+		return "closed"
+	}
+	what := v[2]
+	if what == nil {
+		what = v[3]
+	}
+	switch first := what.([]any)[0].(type) {
+	case []byte:
+		return fmt.Sprintf("%v: %s", v[1], first)
+	default:
+		return fmt.Sprintf("%v: %v", v[1], first)
+	}
+}
+
+func (c *caller) expect(want string) {
+	c.t.Helper()
+	if got := c.heard(); got != want {
+		c.t.Errorf("got %q, want %q", got, want)
+	}
+}
+
+func TestServesAJobUnchanged(t *testing.T) {
+	c := start(t, plane(t, 1), worker(t, good)).caller(t)
+	c.send(0, 1, "isWell", []any{map[string]string{}})
+	c.expect("1: true")
+	c.call(2, "again")
+	c.expect("2: body 2")
+}
+
+// spoils are ways in which an answer fails to come.
+var spoils = map[string]func(a asked){
+	"check": func(a asked) { b := a.answer(97, a.id, "x"); b[len(b)-1]++; a.conn.Write(b) },
+	"noise": func(a asked) { a.conn.Write([]byte("HTTP/1.1 200 OK\r\n\r\n")) },
+	"3 GB":  func(a asked) { b := a.answer(97, a.id, "x"); b[4] = 0xc0; a.conn.Write(b) },
+	"reset": func(a asked) { a.conn.Close() },
+	"short": func(a asked) { b := a.answer(97, a.id, "x"); a.conn.Write(b[:len(b)-2]) },
+}
+
+// A spoilt answer has run: a run-once job is killed, and nobody is told that trying again is harmless.
+func TestSpoiltAnswersMayHaveRun(t *testing.T) {
+	for name, spoil := range spoils {
+		c := start(t, plane(t, 1), worker(t, spoil)).caller(t)
+		c.call(1, "once")
+		if got := c.heard(); got != "1: Aborted" {
+			t.Errorf("%s: got %q", name, got)
+		}
+	}
+}
+
+// A restartable one runs again, on another connection; the server is not held to be dead.
+func TestSpoiltAnswersRunAgain(t *testing.T) {
+	for _, name := range []string{"check", "noise", "3 GB"} {
+		c := start(t, plane(t, 1), worker(t, func(a asked) {
+			if a.nth == 1 {
+				spoils[name](a)
+			} else {
+				good(a)
+			}
+		})).caller(t)
+		c.call(1, "again")
+		if got := c.heard(); got != "1: body 1" {
+			t.Errorf("%s: got %q", name, got)
+		}
+	}
+}
+
+// What belongs to nobody is dropped, and the connection stays.
+func TestSurplusAnswersAreDropped(t *testing.T) {
+	conns := make(chan net.Conn, 8)
+	c := start(t, plane(t, 1), worker(t, func(a asked) {
+		a.conn.Write(a.answer(97, a.id+1, "not yours"))
+		good(a)
+		good(a)
+		conns <- a.conn
+	})).caller(t)
+	for n := 1; n <= 3; n++ {
+		c.call(n, "again")
+		c.expect(fmt.Sprintf("%d: body %d", n, n))
+	}
+	if first := <-conns; first != <-conns || first != <-conns {
+		t.Error("another connection was opened")
+	}
+}
+
+func TestFullServerProvesNothingRan(t *testing.T) {
+	c := start(t, plane(t, 1), worker(t, func(a asked) { a.conn.Write(a.answer(100, a.id, "")) })).caller(t)
+	c.call(1, "once", "allow", "300")
+	c.expect("1: TryLater")
+}
+
+func TestBadInputIsAnsweredOrClosed(t *testing.T) {
+	r := start(t, plane(t, 1), worker(t, good))
+	for name, bad := range map[string]func(c *caller){
+		"an unknown class":   func(c *caller) { c.call(1, "unheard") },
+		"an unknown project": func(c *caller) { c.call(1, "again", "project", "nobody") },
+		"a huge patience":    func(c *caller) { c.call(1, "again", "allow", "86400000") },
+		"no mark":            func(c *caller) { c.call(1, "marked") },
+		"too much memory":    func(c *caller) { c.call(1, "again", "spec", "memory_mb:5000") },
+		"a body of 60 MB":    func(c *caller) { c.conn.Write([]byte{0x94, 0, 1, 0xa1, 'x', 0x92, 0x80, 0xc6, 3, 0x93, 0x87, 0}) },
+		"a ref twice":        func(c *caller) { c.call(1, "again"); c.call(2, "again", "ref", fmt.Sprintf("%016x", 1)) },
+	} {
+		c := r.caller(t)
+		bad(c)
+		if got := c.heard(); got != "1: Invalid" && !(name == "a ref twice" && got == "2: Invalid") {
+			t.Errorf("%s: got %q", name, got)
+		}
+		if name == "a ref twice" {
+			if got := c.heard(); got != "1: Invalid" && got != "2: Invalid" {
+				t.Errorf("%s: then %q", name, got)
+			}
+		}
+	}
+	c := r.caller(t)
+	c.call(1, "again") // nobody else is harmed
+	c.expect("1: body 1")
+}
+
+// Whose answer would be whose? No job of such a connection gets one that counts.
+func TestNumberTwiceEndsTheConnection(t *testing.T) {
+	r := start(t, plane(t, 1), worker(t, func(asked) {}))
+	c := r.caller(t)
+	c.call(1, "again")
+	c.call(1, "again", "ref", "00000000000000ff")
+	c.expect("1: Invalid")
+	c.expect("1: Aborted")
+	c.expect("closed")
+}
+
+func TestSilentConnectionsAreClosed(t *testing.T) {
+	r := start(t, plane(t, 1), worker(t, good))
+	silent, half := r.caller(t), r.caller(t)
+	half.conn.Write([]byte{0x94, 0, 1})
+	for _, c := range []*caller{silent, half} {
+		c.conn.SetDeadline(time.Now().Add(3 * time.Second))
+		if _, err := c.conn.Read(make([]byte, 1)); err == nil || os.IsTimeout(err) {
+			t.Errorf("open after 3 s: %v", err)
+		}
+	}
+}
+
+func TestMoreThan32OpenArePushedBack(t *testing.T) {
+	c := start(t, plane(t, 1), worker(t, func(asked) {})).caller(t)
+	for n := 1; n <= perClient+1; n++ {
+		c.call(n, "again")
+	}
+	c.expect(fmt.Sprintf("%d: TryLater", perClient+1))
+}
+
+// Connections over the bound make room among those that have said nothing.
+func TestManySilentConnectionsLeaveRoom(t *testing.T) {
+	r := start(t, plane(t, 1), worker(t, good))
+	for range r.mostClients + 20 {
+		r.caller(t)
+	}
+	c := r.caller(t)
+	c.call(1, "again")
+	c.expect("1: body 1")
+}
+
+func TestForgottenJobIsNotAnswered(t *testing.T) {
+	got := make(chan asked, 1)
+	c := start(t, plane(t, 1), worker(t, func(a asked) {
+		if a.nth == 1 {
+			got <- a
+		} else {
+			good(a)
+		}
+	})).caller(t)
+	c.call(1, "again")
+	a := <-got
+	c.send(2, "forget", []any{1})
+	time.Sleep(20 * time.Millisecond)
+	good(a)
+	c.call(2, "again")
+	c.expect("2: body 2")
+}
+
+// A server that drains between the choice and the first byte gets nothing.
+func TestDrainBeforeTheFirstByte(t *testing.T) {
+	r := start(t, plane(t, 1), worker(t, good))
+	done := make(chan bool)
+	r.box.Tell(func(now control.Micros) {
+		id := fleet.ID("s-0")
+		s := r.sending(id, 1_000_000)
+		s.order.Server = id
+		s.link = &link{p: r.Platform, out: map[binframe.ID]*sending{1: s}}
+		s.id, s.timer = 1, time.NewTimer(time.Hour)
+		pl := r.pools[id]
+		if pl == nil {
+			pl = &pool{id: id, address: "elsewhere"}
+			r.pools[id] = pl
+		}
+		s.link.pool = pl
+		pl.links = append(pl.links, s.link)
+		r.linked++
+		r.listed(now, []fleet.Entry{{Name: "s-0", Address: pl.address, Zone: "east"}}) // draining, or gone
+		done <- s.state.Over && !s.begin()
+	})
+	if !<-done {
+		t.Error("it could still be written")
+	}
+}
+
+// A new server at the address of one that has gone has connections of its own.
+func TestAddressOfAnotherServer(t *testing.T) {
+	conns := make(chan net.Conn, 2)
+	address := worker(t, func(a asked) { good(a); conns <- a.conn })
+	r := start(t, plane(t, 1), address)
+	c := r.caller(t)
+	c.call(1, "again")
+	c.expect("1: body 1")
+	r.box.Tell(func(now control.Micros) {
+		r.listed(now, []fleet.Entry{{Name: "s-9", Address: address, Zone: "east", State: control.Ready}})
+	})
+	c.call(2, "again")
+	c.expect("2: body 2")
+	if <-conns == <-conns {
+		t.Error("the new server was sent to on the old one's connection")
+	}
+}
+
+// At a new configuration the board is asked elsewhere, and jobs in hand stay.
+func TestReload(t *testing.T) {
+	first := make(chan asked, 1)
+	old, other := worker(t, func(a asked) { first <- a }), worker(t, good)
+	r := start(t, plane(t, 1), old)
+	c := r.caller(t)
+	c.call(1, "again")
+	a := <-first
+	fresh := *r.told
+	fresh.Board = plane(t, 3, event(2, "s-0", old, "draining"), event(3, "s-1", other, "ready"))
+	r.Reload(&fresh)
+	for n := 2; ; n++ {
+		c.call(n, "again", "allow", "200")
+		if c.heard() == fmt.Sprintf("%d: body %d", n, n) {
+			break
+		}
+		if n > 20 {
+			t.Fatal("the new server was never used")
+		}
+	}
+	good(a)
+	c.expect("1: body 1")
+}
+
+// A stopping router serves on for a little, answers what is in hand, and ends.
+func TestStop(t *testing.T) {
+	first := make(chan asked, 2)
+	r := start(t, plane(t, 1), worker(t, func(a asked) { first <- a }))
+	c := r.caller(t)
+	c.call(1, "again")
+	a := <-first
+	r.stop()
+	time.Sleep(200 * time.Millisecond)
+	late := r.caller(t)
+	late.send(0, 1, "isWell", []any{map[string]string{}})
+	late.expect("1: false")
+	late.call(2, "again", "ref", "00000000000000ff")
+	good(<-first)
+	late.expect("2: body 2")
+	time.Sleep(servesOn)
+	good(a)
+	c.expect("1: body 1")
+	select {
+	case <-r.ended:
+	case <-time.After(2 * time.Second):
+		t.Error("it goes on with nothing in hand")
+	}
+}
+
+// Beyond what may wait for an end that does not read, its connection is closed.
+func TestOutboxIsBounded(t *testing.T) {
+	ours, theirs := net.Pipe()
+	defer theirs.Close()
+	o := &outbox{conn: ours, most: 1000}
+	taken := 0
+	for o.post(parcel{data: make([]byte, 100)}) {
+		taken++
+	}
+	if taken > 11 || !o.drained() {
+		t.Errorf("%d taken", taken)
+	}
+}
+
+func TestConfigurationFaults(t *testing.T) {
+	for name, text := range map[string]string{"half a file": `{"name": "n0", "list`, "no settings": `{"listen": "127.0.0.1:1"}`,
+		"no address": `{"listen": "here", "board": "127.0.0.1:1", "seed": "1", "limits": {"sockets": 256}, "settings": ` + settings + `}`,
+		"a bad seed": `{"listen": "127.0.0.1:1", "board": "127.0.0.1:1", "seed": "-", "limits": {"sockets": 256}, "settings": ` + settings + `}`,
+		"few sockets": `{"listen": "127.0.0.1:1", "board": "127.0.0.1:1", "seed": "1", "limits": {"sockets": 8}, "settings": ` + settings +
+			`}`,
+	} {
+		file := filepath.Join(t.TempDir(), "config.json")
+		if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		if _, err := ReadTold(Environment{File: file}); err == nil {
+			t.Errorf("%s: taken", name)
+		}
+	}
+}
--- a/internal/platform/servers.go
+++ b/internal/platform/servers.go
@@ -193,11 +193,9 @@
 		if err != nil {
 			l.box.close()
 			result := control.Reset
-			if errors.Is(err, os.ErrDeadlineExceeded) || errors.Is(err, binframe.ErrMark) || errors.Is(err, binframe.ErrCode) ||
-				errors.Is(err, binframe.ErrLength) || errors.Is(err, binframe.ErrCheck) {
-				// The server answers; what it said can't be read.
-				result = control.Errored
-				p.count("spoilt answer: " + err.Error())
+			if why := spoilt(err); why != "" {
+				result = control.Errored // the server answers; what it said can't be read
+				p.count("spoilt answer: " + why)
 			}
 			p.box.Tell(func(now control.Micros) { p.broke(now, l, result) })
 			return
@@ -206,6 +204,19 @@
 	}
 }
 
+// spoilt tells what was wrong with an answer; empty where the connection itself ended.
+func spoilt(err error) string {
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		return "stopped short"
+	}
+	for _, known := range []error{binframe.ErrMark, binframe.ErrCode, binframe.ErrLength, binframe.ErrCheck} {
+		if errors.Is(err, known) {
+			return known.Error()
+		}
+	}
+	return ""
+}
+
 // heard takes in an answer. One that nobody waits for, or a second one, is dropped: it harms nothing else.
 func (p *Platform) heard(now control.Micros, l *link, a *binframe.Answer) {
 	s := l.out[a.ID]
