A server that refused a load is asked again after 50 ms; turns are 3 ms apart

Seen: at 950 jobs a second 16% were turned away, most held with no copy standing or coming, and the router took all of its part of a core. Looked into: the bound on loads at once (17 of 48 in use, not it), suspects (none), clients that left (a tenth, not ours). Lines at fault: loadPause of 1 s, a refusal from both of a function's servers outlasted what was left of its jobs' patience; Platform.pace at the tick of 1 ms asked 150 held jobs a thousand times a second.

--- a/control/control.go
+++ b/control/control.go
@@ -719,7 +719,7 @@
 	}
 }
 
-const loadPause = 1_000_000 // about as long as a load takes: then there may be room again
+const loadPause = 50_000 // a part of a load: one that ends meanwhile makes room
 
 // broke takes in a broken or refused connection. Guards against crashes: one after a silence, or a second
 // with no answer between, makes a suspect, which holds nothing when it is back. One alone is a flaky network.
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -679,3 +679,17 @@
 		}
 	}
 }
+
+// A refused load is no reason to leave a server alone for longer than it takes until one of its loads may have ended.
+func TestRefusedLoadIsSoonTriedAgain(t *testing.T) {
+	r := fleet(deployment(), 1)
+	j := newJob(1)
+	r.Place(at, j)
+	p := r.After(at+1000, j, Outcome{Server: 1, Result: Full})
+	if p.Verb != Hold {
+		t.Fatalf("got %+v right after a refusal, want it held", p)
+	}
+	if p = r.Place(at+100_000, j); p.Verb != Send {
+		t.Errorf("got %+v a tenth of a second later, want another try", p)
+	}
+}
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -177,7 +177,11 @@
 	p.closeAll()
 }
 
-// pace keeps turns as far apart as the simulator's batches, so that what comes close together costs one turn.
+// apart is how far apart turns are at least, where the settings' tick is shorter: each asks again for every held job, and
+// a thousand a second with 150 held took a quarter of a core. It is a hundredth of the shortest start target.
+const apart = 3_000
+
+// pace keeps turns apart, so that what comes close together costs one.
 func (p *Platform) pace() {
 	now := p.now()
 	if attempt.Stood(now-p.due, p.told.grace) && p.due > 0 {
@@ -187,8 +191,9 @@
 		time.Sleep(10 * time.Millisecond)
 		return
 	}
-	if wait := p.turned + p.told.Deployment.Tick - now; wait > 0 {
-		time.Sleep(span(min(wait, p.told.Deployment.Tick)))
+	least := max(apart, p.told.Deployment.Tick)
+	if wait := p.turned + least - now; wait > 0 {
+		time.Sleep(span(min(wait, least)))
 	}
 }
 
