A server that answers with errors is left alone like one that refuses

Looked into with a trace: 5137 of 5150 came from one server within 3.5 ms; spoilt answers, restarts and loads excluded. Lines at fault: control.learn, which took an error only as a sign of life, so that fullest chose the same idle copy again. Changed: an error from a loaded copy counts like a refusal.

--- a/control/control.go
+++ b/control/control.go
@@ -644,7 +644,7 @@
 	switch {
 	case o.Found == LoadFailed || o.Result == Missing:
 		in.copies, in.loading = 0, 0
-	case o.Result == Full:
+	case o.Result == Full || o.Result == Errored && e.warm: // one that errs at once looks ever emptier
 		if !e.warm {
 			in.loading, s.loadsAfter = 0, now+loadPause // its loads queue is full, or there is no memory
 			break
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -693,3 +693,18 @@
 		t.Errorf("got %+v a tenth of a second later, want another try", p)
 	}
 }
+
+// A server that answers all with errors at once looks the emptiest of all.
+func TestServerThatErrsIsLeftAlone(t *testing.T) {
+	r := fleet(deployment(), 1)
+	stands(r, 1, 0)
+	for id := range JobID(3) {
+		j := newJob(id)
+		j.Executions = []Execution{{Server: 1, Sent: at, MayRun: true, warm: true}}
+		r.servers[0].busy++
+		r.After(at, j, Outcome{Server: 1, Result: Errored})
+	}
+	if s := r.servers[0]; s.sound() || s.avoidUntil <= at {
+		t.Errorf("after three errors in a row: sound %v, avoided until %d", s.sound(), s.avoidUntil)
+	}
+}
