A connection's reader alone decides its end; cancels are seen before the first byte

- makeRoom looked at idleness under the client's lock and closed under the outbox's: a job read in between was run and its answer dropped.
The reader now ends the connection after a last look.
- A read deadline that passed while the process stood still counted before bytes that had come.
- outbox.shut closed with input unread, which is a reset (seen: ECONNRESET instead of EOF after 'Invalid').
Now half closed, read on within bounds, closed.
- At the end the listener was closed with connections waiting, and clients.idle() was looked at once: what came after was lost.
What waits is accepted, each connection read empty before the process ends.
- sending.begin did not look at the client: a cancel waited for the turn.
A flooding client's reader sleeps up to 20 ms a message; nothing of it is open from its 64th fault on.
- A job's second execution could share the connection of its first, so that a second answer to the first was taken for its own (seen in the test: 'stale').
- A dial without a descriptor counted as a refusing server (NoConnection); now idle clients make room.
- A connection still dialled was preferred to one that stands.
- A half-written configuration at SIGHUP was never read again; SIGTERM could be lost behind four SIGHUPs.
- The board was asked 5 to 50 times a second while down, by all routers alike: now 20 ms doubled to 1 s, half by chance, within the 2 s after which a break counts as told.
- isWell was answered by the reader alone, whatever the turns did; a fault in one reader ended the process.

Excluded: a dial that hangs as the board moves costs 0.5 s of the 4 s that are allowed; the half of a partly written frame proves nothing ran, also when the reset is heard first (then it counts as may have run, the safe side).

--- a/cmd/hollymast/platform.go
+++ b/cmd/hollymast/platform.go
@@ -20,10 +20,12 @@
 }
 
 func (o onPlatform) Run() error {
-	signals := make(chan os.Signal, 4) // before all else: either may come at any time
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	// Before all else: either may come at any time. Each has its own, so that none is lost behind others.
+	ends, reloads := make(chan os.Signal, 1), make(chan os.Signal, 1)
+	signal.Notify(ends, syscall.SIGTERM, syscall.SIGINT)
+	signal.Notify(reloads, syscall.SIGHUP)
 	env := platform.Environment{Name: o.Name, Listen: o.Listen, File: o.Config}
-	told, err := platform.ReadTold(env)
+	told, err := platform.FirstTold(env)
 	if err != nil {
 		return program.Use{Err: err}
 	}
@@ -41,20 +43,10 @@
 	ctx, stop := context.WithCancel(context.Background())
 	defer stop()
 	go func() {
-		for sig := range signals {
-			if sig != syscall.SIGHUP {
-				stop()
-				continue
-			}
-			fresh, err := platform.ReadTold(env)
-			if err != nil {
-				log.Error().Err(err).Msg("configuration refused: the old one stands")
-				continue
-			}
-			p.Reload(fresh)
-			log.Info().Str("board", fresh.Board).Msg("reloaded")
-		}
+		<-ends
+		stop() // a second one changes nothing: what is in hand is still owed its answer
 	}()
+	go p.ReloadOn(context.Background(), reloads, env) // to the end: a stopping router still follows the notice board
 	log.Info().Str("listen", p.Address()).Str("name", told.Name).Str("board", told.Board).Float64("cores", told.Cores).
 		Int("memory_mb", told.MemoryMB).Int("sockets", told.Sockets).Msg("serving")
 	p.Serve(ctx)
--- a/internal/board/board_test.go
+++ b/internal/board/board_test.go
@@ -76,7 +76,7 @@
 func follow(t *testing.T, address string) (*Follower, chan []fleet.Entry) {
 	t.Helper()
 	told := make(chan []fleet.Entry, 8)
-	f := NewFollower(State{}, address, func(list []fleet.Entry) { told <- list }, func(string, error) {})
+	f := NewFollower(State{}, address, 1, func(list []fleet.Entry) { told <- list }, func(string, error) {})
 	ctx, stop := context.WithCancel(context.Background())
 	ended := make(chan struct{})
 	go func() { f.Follow(ctx); close(ended) }()
@@ -139,3 +139,36 @@
 		t.Errorf("got %v", list)
 	}
 }
+
+// A board that breaks off after each question is asked ever less often: some hundred routers ask at the same time.
+func TestBoardThatBreaksOffIsAskedLessOften(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	follow(t, l.Addr().String())
+	const most = 12 // 20 ms doubled seven times is over 2 s; at 20 ms each there would be a hundred
+	n := 0
+	for l.(*net.TCPListener).SetDeadline(time.Now().Add(2 * time.Second)); ; n++ {
+		c, err := l.Accept()
+		if err != nil {
+			break
+		}
+		bufio.NewReader(c).ReadString('\n')
+		fmt.Fprintln(c, 0)
+		c.Close()
+	}
+	if n > most {
+		t.Errorf("asked %d times in 2 s", n)
+	}
+}
+
+// Two routers that lost the board together ask again at different times, neither later than the bound.
+func TestPausesAreSpread(t *testing.T) {
+	one, other := NewFollower(State{}, "", 1, nil, nil), NewFollower(State{}, "", 2, nil, nil)
+	a, b := one.wait(pauseMost), other.wait(pauseMost)
+	if a == b || min(a, b) < pauseMost/2 || max(a, b) > pauseMost {
+		t.Errorf("%v and %v", a, b)
+	}
+}
--- a/internal/board/follow.go
+++ b/internal/board/follow.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"sync"
 	"time"
@@ -22,11 +23,13 @@
 	known   *Known // of a new configuration, not yet taken in
 	conn    net.Conn
 	turned  chan struct{} // holds one: the address changed
+	chance  *rand.Rand    // for pauses; decides nothing else
 }
 
 // NewFollower follows from a state on. Told hears each new list, Note what went wrong.
-func NewFollower(state State, address string, told func([]fleet.Entry), note func(string, error)) *Follower {
-	return &Follower{state: state, address: address, told: told, note: note, turned: make(chan struct{}, 1)}
+func NewFollower(state State, address string, seed uint64, told func([]fleet.Entry), note func(string, error)) *Follower {
+	return &Follower{state: state, address: address, told: told, note: note, turned: make(chan struct{}, 1),
+		chance: rand.New(rand.NewPCG(seed, 1))}
 }
 
 // Turn has the follower go on at another address, and take in what a new configuration knows.
@@ -49,12 +52,17 @@
 	silence = 1500 * time.Millisecond
 	// Connecting is a few round trips. Bounded well within the 2 s after a break.
 	dialTime = 500 * time.Millisecond
-	// Between two failed tries: short beside the 2 s, and no load on a board that is down.
-	pauseFirst, pauseMost = 20 * time.Millisecond, 200 * time.Millisecond
+	// Between two failed tries, doubled each time: with a dial that hangs the longest stays within the 2 s after a break.
+	pauseFirst, pauseMost = 20 * time.Millisecond, time.Second
 	// An event with some thousand servers. A longer line is no event.
 	maxLine = 4 << 20
 )
 
+// wait draws a pause: between a half and the whole, so that routers that lost the board together do not come back together.
+func (f *Follower) wait(pause time.Duration) time.Duration {
+	return pause/2 + time.Duration(f.chance.Int64N(int64(pause/2)))
+}
+
 // Follow runs until the context ends.
 func (f *Follower) Follow(ctx context.Context) {
 	stop := context.AfterFunc(ctx, func() {
@@ -67,27 +75,27 @@
 	defer stop()
 	pause := pauseFirst
 	for ctx.Err() == nil {
-		before := f.state.Last()
-		heard, err := f.listen(ctx)
+		before, began := f.state.Last(), time.Now()
+		err := f.listen(ctx)
 		if ctx.Err() != nil {
 			return
 		}
 		f.note("asking the notice board again", err)
-		if heard && (f.state.Last() > before || pause == pauseFirst) {
+		if f.state.Last() > before || time.Since(began) >= silence { // it was worth asking
 			pause = pauseFirst
-		} else {
-			pause = min(2*pause, pauseMost)
 		}
 		select {
-		case <-time.After(pause):
+		case <-time.After(f.wait(pause)):
+			pause = min(2*pause, pauseMost)
 		case <-f.turned:
+			pause = pauseFirst
 		case <-ctx.Done():
 		}
 	}
 }
 
 // listen asks once, and hears until the board breaks off, falls silent or leaves something out.
-func (f *Follower) listen(ctx context.Context) (heard bool, err error) {
+func (f *Follower) listen(ctx context.Context) error {
 	f.mu.Lock()
 	address, known := f.address, f.known
 	f.known = nil
@@ -103,7 +111,7 @@
 	dialer := net.Dialer{Timeout: dialTime}
 	conn, err := dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
-		return false, err
+		return err
 	}
 	defer conn.Close()
 	f.mu.Lock()
@@ -111,11 +119,11 @@
 	turned := f.address != address
 	f.mu.Unlock()
 	if turned || ctx.Err() != nil {
-		return false, errors.New("turned to another address")
+		return errors.New("turned to another address")
 	}
 	conn.SetDeadline(time.Now().Add(silence))
 	if _, err := fmt.Fprintf(conn, "watch %d\n", f.state.Last()); err != nil {
-		return false, err
+		return err
 	}
 	f.state.Asked()
 	in := bufio.NewReaderSize(conn, 8<<10)
@@ -124,24 +132,24 @@
 		part, err := in.ReadSlice('\n')
 		line = append(line, part...)
 		if len(line) > maxLine {
-			return heard, errors.New("a line without an end")
+			return errors.New("a line without an end")
 		}
 		if errors.Is(err, bufio.ErrBufferFull) {
 			continue
 		}
 		if err != nil {
-			return heard, err // what came of a line is not taken in
+			return err // what came of a line is not taken in
 		}
 		meaning, err := f.state.Line(line)
 		if err != nil {
-			return heard, err
+			return err
 		}
-		line, heard = line[:0], true
+		line = line[:0]
 		switch meaning {
 		case Changed:
 			f.told(f.state.List())
 		case AskAgain:
-			return heard, errors.New("an event is missing")
+			return errors.New("an event is missing")
 		}
 		conn.SetReadDeadline(time.Now().Add(silence))
 	}
--- a/internal/platform/clients.go
+++ b/internal/platform/clients.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"io"
 	"net"
 	"os"
 	"sync"
@@ -12,17 +13,26 @@
 	"hollymast/internal/msgrpc"
 )
 
-// client is one connection of a client. Its goroutine reads; the turn answers through the outbox.
+// client is one connection of a client. Its goroutine reads, and alone decides that the connection takes nothing more: a
+// job was either read before, or never. The turn answers through the outbox.
 type client struct {
-	p      *Platform
-	conn   net.Conn
-	box    outbox
-	mu     sync.Mutex
-	open   map[uint32]*job // by number
-	last   uint32          // number
-	faults int
-	spoke  atomic.Bool  // a whole message was read
-	quiet  atomic.Int64 // since when nothing is open, the router's time
+	p        *Platform
+	conn     net.Conn
+	in       *looking
+	box      outbox
+	mu       sync.Mutex
+	open     map[uint32]*job // by number
+	last     uint32          // number
+	owed     int             // answers to isWell
+	awaiting bool            // the reader waits between messages
+	dismiss  bool            // it ends as soon as nothing is open
+	faults   int
+	spoke    atomic.Bool   // a whole message was read
+	quiet    atomic.Int64  // since when nothing is open, the router's time
+	linger   time.Duration // how long the other direction is read after all is written
+	gone     chan struct{} // closed once the descriptor is free
+	hurried  atomic.Bool
+	now      chan struct{} // closed where it is not read on
 }
 
 const (
@@ -35,46 +45,94 @@
 	idleMost = 6 * time.Second
 	// unread is how much may wait for a client to read: the answers to all that it may have open.
 	unread = perClient * (msgrpc.MaxBody + 1024)
+	// lastLook is for how long a connection is read once its time is up: what is here already is read at once, so that the
+	// shortest time that a timer keeps is enough.
+	lastLook = 2 * time.Millisecond
+	// A connection that ends idle is read on for as long as a request may cross the close. One that ends after a message
+	// that can't be read is given the time to read why: the rest of 3 s after firstWithin, halved.
+	lingerIdle, lingerBad = 50 * time.Millisecond, 500 * time.Millisecond
+	// early is by how many connections room is made before the bound: as many as are accepted while one ends.
+	early = 16
+	// closing is how long an accept waits for a descriptor: a last look, and the reader's turn on a shared core.
+	closing = 20 * time.Millisecond
 )
 
+// looking reads from a connection with a deadline. Guards against a deadline that passed while this process stood still:
+// what is here by then is read before the deadline counts, once for each.
+type looking struct {
+	conn   net.Conn
+	looked bool
+}
+
+func (l *looking) until(at time.Time) {
+	l.looked = false
+	l.conn.SetReadDeadline(at)
+}
+
+func (l *looking) Read(b []byte) (int, error) {
+	n, err := l.conn.Read(b)
+	if n == 0 && !l.looked && errors.Is(err, os.ErrDeadlineExceeded) {
+		l.looked = true
+		l.conn.SetReadDeadline(time.Now().Add(lastLook))
+		n, err = l.conn.Read(b)
+	}
+	return n, err
+}
+
+// accept takes connections until the listener closes, or its deadline passes with none waiting: then it closes it.
 func (p *Platform) accept(l *net.TCPListener) {
+	defer l.Close()
 	for {
 		conn, err := l.Accept()
-		if errors.Is(err, net.ErrClosed) {
+		switch {
+		case errors.Is(err, net.ErrClosed), errors.Is(err, os.ErrDeadlineExceeded):
 			return
-		}
-		if err != nil {
+		case err != nil:
 			// Out of descriptors, or the client left already. Guards against a loop at full speed.
 			p.count("accept failed")
-			if !p.makeRoom() {
+			if !p.makeRoom(true) {
 				time.Sleep(time.Millisecond)
 			}
 			continue
 		}
-		c := &client{p: p, conn: conn, open: map[uint32]*job{}}
-		c.box.most, c.box.conn = unread, conn
-		c.quiet.Store(int64(p.now()))
 		p.mu.Lock()
-		full := len(p.clients) >= p.mostClients
+		n := len(p.clients)
 		p.mu.Unlock()
-		if full && !p.makeRoom() {
+		if n >= p.mostClients-early && !p.makeRoom(n >= p.mostClients) && n >= p.mostClients {
 			conn.Close()
 			p.count("client refused: too many connections")
 			continue
 		}
-		p.mu.Lock()
-		p.clients[c] = struct{}{}
-		p.mu.Unlock()
-		go c.read()
+		p.welcome(conn)
 	}
 }
 
-// makeRoom closes the connection that has had nothing open for longest; one that has said nothing goes first.
-func (p *Platform) makeRoom() bool {
+// welcome has a connection read.
+func (p *Platform) welcome(conn net.Conn) *client {
+	c := &client{p: p, conn: conn, in: &looking{conn: conn}, open: map[uint32]*job{}, linger: lingerIdle,
+		gone: make(chan struct{}), now: make(chan struct{})}
+	c.box.most, c.box.conn, c.box.written = unread, conn, make(chan struct{})
+	c.quiet.Store(int64(p.now()))
+	p.mu.Lock()
+	p.clients[c] = struct{}{}
+	p.mu.Unlock()
+	go c.read()
+	return c
+}
+
+// makeRoom ends a connection: one that ends in any case, at once; else the one that has had nothing open for longest, those
+// that have said nothing first. It may wait until the descriptor is free.
+func (p *Platform) makeRoom(wait bool) bool {
 	p.mu.Lock()
 	var worst *client
+	ending := false
 	for c := range p.clients {
-		if !c.idle() {
+		idle, ends := c.idle()
+		if ends && !c.hurried.Load() {
+			worst, ending = c, true
+			break
+		}
+		if !idle || ends {
 			continue
 		}
 		if worst == nil || !c.spoke.Load() && worst.spoke.Load() ||
@@ -82,45 +140,103 @@
 			worst = c
 		}
 	}
-	if worst != nil {
-		delete(p.clients, worst)
-	}
 	p.mu.Unlock()
 	if worst == nil {
 		return false
 	}
 	p.count("idle client closed to make room")
-	worst.box.end()
-	return true
+	if worst.end(0); ending {
+		worst.hurry()
+	}
+	if !wait {
+		return true
+	}
+	select {
+	case <-worst.gone:
+		return true
+	case <-time.After(closing):
+		return false
+	}
 }
 
-func (c *client) idle() bool {
+// hurry closes a connection that ends, read on or not.
+func (c *client) hurry() {
+	if c.hurried.CompareAndSwap(false, true) {
+		close(c.now)
+		c.box.close()
+	}
+}
+
+// idle tells whether nothing is open, and whether it was told to end.
+func (c *client) idle() (idle, ending bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.nothing(), c.dismiss
+}
+
+func (c *client) nothing() bool { return len(c.open) == 0 && c.owed == 0 }
+
+// end has the reader end the connection once nothing is open, after a last look for a message. It is read on for a while.
+func (c *client) end(linger time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return len(c.open) == 0
+	c.dismiss, c.linger = true, linger
+	c.wake()
+}
+
+// wake wakes a reader that waits for a message on a connection that may end.
+func (c *client) wake() {
+	if c.dismiss && c.awaiting && c.nothing() {
+		c.conn.SetReadDeadline(time.Now())
+	}
+}
+
+// await waits for the first byte of the next message; no ends the connection.
+func (c *client) await(in *msgrpc.Reader, first time.Time) bool {
+	for {
+		c.mu.Lock()
+		c.awaiting = true
+		at := time.Now().Add(idleMost)
+		if !c.spoke.Load() {
+			at = first
+		}
+		if c.dismiss && c.nothing() {
+			at = time.Now()
+		}
+		c.in.until(at)
+		c.mu.Unlock()
+		err := in.Await()
+		c.mu.Lock()
+		c.awaiting = false
+		nothing := c.nothing()
+		c.mu.Unlock()
+		if err == nil {
+			return true
+		}
+		if nothing || !errors.Is(err, os.ErrDeadlineExceeded) {
+			return false
+		}
+	}
 }
 
 // read reads until the connection ends. It owns the connection's end: all that is open then is over.
 func (c *client) read() {
+	defer c.p.caught("reading a client")
 	defer c.leave()
-	in := msgrpc.NewReader(c.conn)
-	c.conn.SetReadDeadline(time.Now().Add(firstWithin))
+	in := msgrpc.NewReader(c.in)
+	first := time.Now().Add(firstWithin)
 	for {
-		if c.spoke.Load() && !in.Buffered() {
-			for {
-				c.conn.SetReadDeadline(time.Now().Add(idleMost))
-				err := in.Await()
-				if err == nil {
-					break
-				}
-				if !errors.Is(err, os.ErrDeadlineExceeded) || c.idle() {
-					return
-				}
+		if !in.Buffered() && !c.await(in, first) {
+			if !c.spoke.Load() {
+				c.p.count("client closed: no whole message in time")
 			}
-			c.conn.SetReadDeadline(time.Now().Add(restWithin))
-		} else if c.spoke.Load() {
-			c.conn.SetReadDeadline(time.Now().Add(restWithin))
+			return
 		}
+		rest := time.Now().Add(restWithin)
+		if !c.spoke.Load() {
+			rest = first
+		}
+		c.in.until(rest)
 		m, err := in.Read()
 		var fault *msgrpc.Fault
 		switch {
@@ -130,22 +246,23 @@
 				c.post(msgrpc.Invalid(fault.Number, fault.Text))
 			}
 			if fault.Broken {
-				c.refuseAll()
+				c.end(lingerBad)
 				return
 			}
 			c.spoke.Store(true)
 			c.fault()
 			continue
 		case err != nil:
-			if !c.spoke.Load() && errors.Is(err, os.ErrDeadlineExceeded) {
+			if errors.Is(err, os.ErrDeadlineExceeded) {
 				c.p.count("client closed: no whole message in time")
+				c.end(lingerBad)
 			}
 			return
 		}
 		c.spoke.Store(true)
 		switch m.Kind {
 		case msgrpc.IsWell:
-			c.post(msgrpc.Well(m.Number, c.p.ready.Load()))
+			c.isWell(m.Number)
 		case msgrpc.Forget:
 			c.forget(m.Number)
 		case msgrpc.Call:
@@ -156,23 +273,44 @@
 	}
 }
 
+// isWell is answered by the turn: a router whose turns stand still is not well.
+func (c *client) isWell(number uint32) {
+	c.mu.Lock()
+	c.owed++
+	c.mu.Unlock()
+	c.p.box.Tell(func(control.Micros) {
+		c.post(msgrpc.Well(number, c.p.ready.Load()))
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		c.owed--
+		c.wake()
+	})
+}
+
 func (c *client) post(data []byte) { c.box.post(parcel{data: data}) }
 
+const (
+	freeFaults = 64 // no usual client makes as many on one connection
+	manyFaults = 1000
+)
+
 // fault slows down a client whose messages are wrong. Guards against floods of them, whose answers would cost the others
-// their part of the core: some hundreds at once are answered within the time that such a client is owed.
+// their part of the core: some hundreds at once are answered within the time that such a client is owed. While its reader
+// sleeps a cancelled job would go unnoticed, so that none of such a client is open from then on.
 func (c *client) fault() {
-	const free, many = 64, 1000
 	switch c.faults++; {
-	case c.faults > many:
+	case c.faults == freeFaults:
+		c.refuseAll()
+	case c.faults > manyFaults:
 		time.Sleep(20 * time.Millisecond)
-	case c.faults > free:
+	case c.faults > freeFaults:
 		time.Sleep(2 * time.Millisecond)
 	}
 }
 
 // call takes a job; no ends the connection.
 func (c *client) call(m *msgrpc.Message) bool {
-	j := &job{id: m.Ask.ID, number: m.Number, client: c, ask: m.Ask}
+	j := &job{id: m.Ask.ID, number: m.Number, client: c, ask: m.Ask, read: c.p.now()}
 	if why := c.p.check(&m.Ask, j); why != "" {
 		c.p.badInput(&msgrpc.Fault{Number: m.Number, Text: why})
 		c.post(msgrpc.Invalid(m.Number, why))
@@ -182,7 +320,7 @@
 	c.mu.Lock()
 	rising := m.Number > c.last
 	c.last = max(c.last, m.Number)
-	full := len(c.open) >= perClient
+	full := len(c.open) >= perClient || c.faults >= freeFaults
 	if rising && !full {
 		c.open[m.Number] = j
 	}
@@ -191,7 +329,7 @@
 		// Whose answer would be whose? Nobody can tell, so that no job of this connection gets one that counts.
 		c.p.badInput(&msgrpc.Fault{Number: m.Number, Text: "number does not rise"})
 		c.post(msgrpc.Invalid(m.Number, "number does not rise"))
-		c.refuseAll()
+		c.end(lingerBad)
 		return false
 	}
 	if full {
@@ -204,9 +342,14 @@
 	return true
 }
 
+// forget ends a job whose client stopped waiting. From here on nothing of it is written, whenever the turn hears of it.
 func (c *client) forget(number uint32) {
 	c.mu.Lock()
 	j := c.open[number]
+	if j != nil {
+		j.gone.Store(true)
+		delete(c.open, number)
+	}
 	c.mu.Unlock()
 	if j != nil {
 		c.p.box.Tell(func(now control.Micros) { c.p.left(now, j) })
@@ -218,19 +361,45 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for number, j := range c.open {
+		j.gone.Store(true)
 		c.post(msgrpc.Killed(number))
 		c.p.box.Tell(func(now control.Micros) { c.p.left(now, j) })
 	}
 	clear(c.open)
 }
 
-// leave ends the connection, after what waits to be written.
+// leave ends the connection, after what waits to be written. It counts as one until its descriptor is free.
 func (c *client) leave() {
 	c.refuseAll()
+	c.mu.Lock()
+	c.dismiss = true
+	linger := c.linger
+	c.mu.Unlock()
 	c.box.end()
+	select {
+	case <-c.box.written:
+		c.readOn(linger)
+	case <-time.After(writeTime):
+	}
+	c.box.close()
 	c.p.mu.Lock()
 	delete(c.p.clients, c)
 	c.p.mu.Unlock()
+	close(c.gone)
+}
+
+// readOn reads what a client still sends, and drops it, until it has closed too. Guards against the reset that a close
+// makes of unread input, which may overtake the last answer; beyond a bound nothing is read, so that a flood costs nothing.
+func (c *client) readOn(linger time.Duration) {
+	const most = 256 << 10 // all that a usual client may have on the way, half of it with the longest bodies
+	until := time.Now().Add(linger)
+	c.conn.SetReadDeadline(until)
+	if _, err := io.CopyN(io.Discard, c.conn, most); err == nil {
+		select {
+		case <-c.now:
+		case <-time.After(time.Until(until)):
+		}
+	}
 }
 
 // answer gives a job its answer.
@@ -243,10 +412,11 @@
 	if len(c.open) == 0 {
 		c.quiet.Store(int64(c.p.now()))
 	}
-	c.mu.Unlock()
 	if open {
 		c.post(data)
+		c.wake()
 	}
+	c.mu.Unlock()
 }
 
 // check holds what a client asks against the settings; the text tells what is wrong.
--- /dev/null
+++ b/internal/platform/crossing_test.go
@@ -0,0 +1,342 @@
+package platform
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/vmihailenco/msgpack/v5"
+
+	"hollymast/control"
+	"hollymast/internal/fleet"
+)
+
+// Each test here forces two events to cross, on real sockets: it holds one until the other has happened.
+
+// crossed is the router's end of a connection; hook sees what a read brought before the router does.
+type crossed struct {
+	*net.TCPConn
+	hook func(n int, err error)
+}
+
+func (x *crossed) Read(b []byte) (int, error) {
+	n, err := x.TCPConn.Read(b)
+	x.hook(n, err)
+	return n, err
+}
+
+// crossing gives a client of a router, and the router's end of its connection.
+func (r *running) crossing(t *testing.T, hook func(c *caller, n int, err error)) (*caller, *client) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	theirs, err := net.Dial("tcp", l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { theirs.Close() })
+	theirs.SetDeadline(time.Now().Add(5 * time.Second))
+	ours, err := l.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	c := &caller{t, theirs, msgpack.NewDecoder(theirs)}
+	return c, r.welcome(&crossed{ours.(*net.TCPConn), func(n int, err error) { hook(c, n, err) }})
+}
+
+// once gives a hook that acts at the first read whose deadline has passed: what it sends is here when the router looks again.
+func once(act func(c *caller)) func(c *caller, n int, err error) {
+	var done atomic.Bool
+	return func(c *caller, n int, err error) {
+		if errors.Is(err, os.ErrDeadlineExceeded) && done.CompareAndSwap(false, true) {
+			act(c)
+		}
+	}
+}
+
+// until waits for what another goroutine is about to do.
+func until(t *testing.T, what string, done func() bool) {
+	t.Helper()
+	for range 4000 {
+		if done() {
+			return
+		}
+		time.Sleep(time.Millisecond)
+	}
+	t.Fatalf("not within 4 s: %s", what)
+}
+
+// A job that comes as its idle connection is about to end is read before, and served.
+func TestJobCrossesAnIdleClose(t *testing.T) {
+	r := start(t, plane(t, 1), worker(t, good))
+	c, ours := r.crossing(t, once(func(c *caller) { c.call(2, "again") }))
+	c.send(0, 1, "isWell", []any{map[string]string{}})
+	c.expect("1: true")
+	ours.end(0)
+	c.expect("2: body 2")
+	c.expect("closed")
+}
+
+// A job that comes as a stopping router looks at its connections for the last time has its answer before the end.
+func TestJobCrossesTheEnd(t *testing.T) {
+	r := start(t, plane(t, 1), worker(t, good))
+	c, _ := r.crossing(t, once(func(c *caller) { c.call(2, "again") }))
+	c.send(0, 1, "isWell", []any{map[string]string{}})
+	c.expect("1: true")
+	r.stop()
+	c.expect("2: TryLater")
+	c.expect("closed")
+}
+
+// A connection that is told to end while a job is open ends with that job's answer.
+func TestConnectionEndsAfterItsJob(t *testing.T) {
+	held := make(chan asked, 1)
+	r := start(t, plane(t, 1), worker(t, func(a asked) { held <- a }))
+	c, ours := r.crossing(t, func(*caller, int, error) {})
+	c.call(1, "again")
+	a := <-held
+	ours.end(0)
+	good(a)
+	c.expect("1: body 1")
+	c.expect("closed")
+}
+
+// A first message that came while the process stood still counts as in time.
+func TestMessageCrossesItsDeadline(t *testing.T) {
+	r := start(t, plane(t, 1), worker(t, good))
+	c, _ := r.crossing(t, once(func(c *caller) { c.call(1, "again") }))
+	c.expect("1: body 1") // after firstWithin
+}
+
+// Connections that wait at the listener when it closes have been made: they are served.
+func TestWaitingConnectionsAreAccepted(t *testing.T) {
+	told, err := parseTold([]byte(configuration(plane(t, 1))), Environment{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	p, err := New(told, zerolog.Nop())
+	if err != nil {
+		t.Fatal(err)
+	}
+	const waiting = 3
+	var conns []net.Conn
+	for range waiting {
+		c, err := net.Dial("tcp", p.Address())
+		if err != nil {
+			t.Fatal(err)
+		}
+		conns = append(conns, c)
+	}
+	p.listenNoMore()
+	p.accept(p.listener)
+	p.mu.Lock()
+	accepted := len(p.clients)
+	p.mu.Unlock()
+	if accepted != waiting {
+		t.Errorf("%d of %d were accepted", accepted, waiting)
+	}
+	for _, c := range conns {
+		c.Close()
+	}
+	until(t, "all connections end", p.served)
+}
+
+// After what can't be read its sender reads why, and then the end: no reset overtakes the answer.
+func TestAnswerIsNotLostToTheClose(t *testing.T) {
+	r := start(t, plane(t, 1), worker(t, good))
+	c, _ := r.crossing(t, func(*caller, int, error) {})
+	c.conn.Write(append([]byte{0x94, 0, 1, 0xa1, 'x', 0x92, 0x80, 0xc6, 3, 0x93, 0x87, 0}, make([]byte, 64<<10)...))
+	c.expect("1: Invalid")
+	c.conn.SetReadDeadline(time.Now().Add(3 * time.Second))
+	if n, err := c.conn.Read(make([]byte, 1)); n != 0 || err != io.EOF {
+		t.Errorf("read %d, %v instead of the end", n, err)
+	}
+}
+
+// What a client cancels, or leaves by closing, is not written any more though the turn has yet to hear of it.
+func TestClientLeavesBeforeTheFirstByte(t *testing.T) {
+	for name, leave := range map[string]func(c *caller){
+		"cancels": func(c *caller) { c.send(2, "forget", []any{1}) },
+		"closes":  func(c *caller) { c.conn.Close() },
+	} {
+		t.Run(name, func(t *testing.T) {
+			held := make(chan asked, 1)
+			r := start(t, plane(t, 1), worker(t, func(a asked) { held <- a }))
+			c := r.caller(t)
+			c.call(1, "again")
+			<-held
+			chosen, turn := make(chan *sending), make(chan bool)
+			r.box.Tell(func(control.Micros) { // a further execution is chosen, and the turn lasts
+				s := r.sending(fleet.ID("s-0"), 1_000_000)
+				s.job, s.no, s.timer = r.jobs[1], 1, time.NewTimer(time.Hour)
+				s.job.state.Sent()
+				chosen <- s
+				<-turn
+			})
+			s := <-chosen
+			leave(c)
+			until(t, "the client's leaving is read", s.job.gone.Load)
+			if s.begin() {
+				t.Error("it was written")
+			}
+			close(turn)
+		})
+	}
+}
+
+// A client that floods has nothing open: its reader sleeps between messages, and would see a cancel late.
+func TestFloodingClientHasNothingOpen(t *testing.T) {
+	held := make(chan asked, 1)
+	c := start(t, plane(t, 1), worker(t, func(a asked) { held <- a })).caller(t)
+	c.call(1, "again")
+	<-held
+	for n := 2; n < 2+freeFaults; n++ {
+		c.call(n, "unheard")
+	}
+	for n := 2; n < 2+freeFaults; n++ {
+		c.expect(fmt.Sprintf("%d: Invalid", n))
+	}
+	c.expect("1: Aborted")
+	c.call(100, "again")
+	c.expect("100: TryLater")
+}
+
+// A second answer to an execution that has ended comes when the same job is out again: it is not taken for the other's.
+func TestSecondAnswerCrossesTheNextExecution(t *testing.T) {
+	var first asked
+	c := start(t, plane(t, 1), worker(t, func(a asked) {
+		if a.nth == 1 {
+			first = a
+			a.conn.Write(a.answer(101, a.id, ""))
+			return
+		}
+		first.conn.Write(first.answer(97, first.id, "stale"))
+		good(a)
+	})).caller(t)
+	c.call(1, "again")
+	c.expect("1: body 1")
+}
+
+// Of two free connections the one that stands is used: the other may come up late, or never.
+func TestStandingConnectionComesFirst(t *testing.T) {
+	stands, comes := &link{up: true, since: 1}, &link{since: 2}
+	if !stands.before(comes) || comes.before(stands) {
+		t.Error("the one that is still dialled comes first")
+	}
+}
+
+// That no descriptor is free for a connection is no sign of a bad server: the job waits for one.
+func TestOutOfDescriptors(t *testing.T) {
+	r := start(t, plane(t, 1), worker(t, good))
+	c := r.caller(t)
+	c.send(0, 1, "isWell", []any{map[string]string{}})
+	c.expect("1: true")
+	free, err := syscall.Dup(0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	syscall.Close(free)
+	var before syscall.Rlimit
+	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &before); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { syscall.Setrlimit(syscall.RLIMIT_NOFILE, &before) })
+	none := before
+	none.Cur = uint64(free)
+	if err := syscall.Setrlimit(syscall.RLIMIT_NOFILE, &none); err != nil {
+		t.Fatal(err)
+	}
+	c.call(2, "again")
+	until(t, "a dial finds no descriptor", func() bool {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		return r.counts["out of descriptors for a server"] > 0
+	})
+	if err := syscall.Setrlimit(syscall.RLIMIT_NOFILE, &before); err != nil {
+		t.Fatal(err)
+	}
+	c.expect("2: body 2")
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if n := r.counts["no connection to a server"]; n > 0 {
+		t.Errorf("%d held against the server", n)
+	}
+}
+
+// lines hands over each line of a log.
+type lines chan string
+
+func (l lines) Write(b []byte) (int, error) {
+	l <- string(b)
+	return len(b), nil
+}
+
+// A configuration that is half written when its signal comes is read again, without another.
+func TestReloadCrossesTheWriting(t *testing.T) {
+	asked := make(chan bool, 8)
+	whole := configuration(listen(t, func(c net.Conn) { asked <- true; c.Read(make([]byte, 100)) }))
+	env := Environment{File: filepath.Join(t.TempDir(), "config.json")}
+	if err := os.WriteFile(env.File, []byte(whole[:len(whole)/2]), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	told, err := parseTold([]byte(configuration(plane(t, 1))), Environment{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	log := make(lines, 100)
+	p, err := New(told, zerolog.New(log))
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	signals := make(chan os.Signal)
+	var all sync.WaitGroup
+	all.Go(func() { p.Serve(ctx) })
+	all.Go(func() { p.ReloadOn(ctx, signals, env) })
+	t.Cleanup(func() { stop(); all.Wait() })
+	signals <- syscall.SIGHUP
+	for !strings.Contains(<-log, "configuration refused") {
+	}
+	if err := os.WriteFile(env.File, []byte(whole), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	select {
+	case <-asked:
+	case <-time.After(4 * time.Second):
+		t.Error("the new notice board was not asked")
+	}
+}
+
+// A fault of our own on one connection ends that one, and is told; the others go on.
+func TestFaultOnOneConnection(t *testing.T) {
+	r := start(t, plane(t, 1), worker(t, good))
+	c, _ := r.crossing(t, func(c *caller, n int, err error) {
+		if n > 0 {
+			panic("planted")
+		}
+	})
+	c.call(1, "again")
+	c.expect("closed")
+	other := r.caller(t)
+	other.call(1, "again", "ref", "00000000000000ff")
+	other.expect("1: body 1")
+	until(t, "the fault is told", func() bool {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		return r.counts["fault of our own reading a client"] == 1
+	})
+}
--- a/internal/platform/outbox.go
+++ b/internal/platform/outbox.go
@@ -17,6 +17,9 @@
 	writing bool // the goroutine runs
 	closing bool // the connection ends with the last of it
 	closed  bool
+	// written, where there is one, is closed when nothing is written any more: with the last of it only this direction of
+	// the connection ends, and whoever reads the other closes it.
+	written chan struct{}
 }
 
 // parcel is one message. Begin may be nil; it is asked right before the first byte, and no withdraws the parcel.
@@ -60,7 +63,7 @@
 	defer o.mu.Unlock()
 	o.conn = conn
 	if o.closed || o.closing && len(o.queue) == 0 {
-		o.shut()
+		o.finish()
 		return
 	}
 	if len(o.queue) > 0 {
@@ -74,8 +77,21 @@
 	defer o.mu.Unlock()
 	o.closing = true
 	if !o.writing && len(o.queue) == 0 {
+		o.finish()
+	}
+}
+
+// finish ends a connection on which all is written. Guards against the reset that a close makes of input nobody read: it
+// may overtake the last answer, so that the direction that is read stays open for a little where somebody reads it.
+func (o *outbox) finish() {
+	half, ok := o.conn.(interface{ CloseWrite() error })
+	if !ok || o.written == nil || o.closed {
 		o.shut()
+		return
 	}
+	o.closed = true
+	half.CloseWrite()
+	close(o.written)
 }
 
 // close closes it at once.
@@ -86,6 +102,9 @@
 }
 
 func (o *outbox) shut() {
+	if !o.closed && o.written != nil {
+		close(o.written)
+	}
 	o.closed = true
 	o.queue, o.size = nil, 0
 	if o.conn != nil {
@@ -105,8 +124,8 @@
 		o.mu.Lock()
 		if len(o.queue) == 0 || o.closed {
 			o.writing = false
-			if o.closing {
-				o.shut()
+			if o.closing && !o.closed {
+				o.finish()
 			}
 			o.mu.Unlock()
 			return
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -10,6 +10,8 @@
 	"maps"
 	"math/rand/v2"
 	"net"
+	"os"
+	"runtime/debug"
 	"slices"
 	"strings"
 	"sync"
@@ -53,6 +55,7 @@
 	follower *board.Follower
 	ready    atomic.Bool
 	listener *net.TCPListener
+	accepted chan struct{} // closed when no connection is accepted any more
 	mu       sync.Mutex
 	clients  map[*client]struct{}
 	counts   map[string]int // what was out of order since the last line about it
@@ -66,6 +69,8 @@
 	number     uint32
 	client     *client
 	ask        msgrpc.Ask
+	read       control.Micros // when its last byte was
+	gone       atomic.Bool    // its client has cancelled or closed: no execution begins
 	workload   control.WorkloadID
 	tenant     control.TenantID
 	state      attempt.Answer
@@ -85,7 +90,7 @@
 	now := time.Now()
 	p := &Platform{told: told, log: log, started: now, epoch: control.Micros(now.UnixMicro()), jobs: map[control.JobID]*job{},
 		pools: map[control.ServerID]*pool{}, box: mailbox.New(), clients: map[*client]struct{}{}, counts: map[string]int{},
-		fleet: fleet.New(0), chance: rand.NewPCG(told.Seed, 0)}
+		fleet: fleet.New(0), accepted: make(chan struct{}), chance: rand.NewPCG(told.Seed, 0)}
 	p.fleet.OneClock()
 	// Usual clients hold up to a third; the rest of a half is for those that say nothing.
 	p.mostClients = told.Sockets / 2
@@ -102,7 +107,7 @@
 	}
 	p.timer = time.NewTimer(time.Hour)
 	p.listed(p.epoch, state.List())
-	p.follower = board.NewFollower(state, told.Board, func(list []fleet.Entry) {
+	p.follower = board.NewFollower(state, told.Board, told.Seed, func(list []fleet.Entry) {
 		p.box.Tell(func(now control.Micros) { p.listed(now, list) })
 	}, func(text string, err error) { p.log.Info().AnErr("why", err).Msg(text) })
 	l, err := net.Listen("tcp", told.Listen)
@@ -126,21 +131,60 @@
 // Reload takes in a new configuration: where the notice board is. The rest needs a restart.
 func (p *Platform) Reload(told *Told) { p.follower.Turn(told.Board, told.Known) }
 
+// Between two tries to read a configuration: first about as long as a file takes to be written, then less often, for one that
+// stays broken.
+const rereadFirst, rereadMost = 20 * time.Millisecond, time.Second
+
+// ReloadOn reads the configuration again at each signal. Until it can be read, as when it is half written, the old one stands
+// and it is tried again.
+func (p *Platform) ReloadOn(ctx context.Context, signals <-chan os.Signal, env Environment) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-signals:
+		}
+		for pause, failed := rereadFirst, ""; ; pause = min(2*pause, rereadMost) {
+			fresh, err := ReadTold(env)
+			if err == nil {
+				p.Reload(fresh)
+				p.log.Info().Str("board", fresh.Board).Msg("reloaded")
+				break
+			}
+			if err.Error() != failed { // once for each fault
+				failed = err.Error()
+				p.log.Error().Err(err).Msg("configuration refused: the old one stands, and it is read again")
+			}
+			select {
+			case <-ctx.Done():
+				return
+			case <-signals:
+				pause = rereadFirst / 2
+			case <-time.After(pause):
+			}
+		}
+	}
+}
+
 // servesOn is for how long a stopping router takes jobs: requests keep coming for 0.6 s, and what comes within 0.7 s is
 // owed an answer.
 const servesOn = 800 * time.Millisecond
 
-// Serve routes until the context ends, serves on for a little, gives each job in hand its answer, and returns.
+// Serve routes until the context ends, serves on for a little, gives each job in hand its answer, and returns once every
+// client's connection has ended: each is read until nothing is left on it.
 func (p *Platform) Serve(ctx context.Context) {
 	following, stop := context.WithCancel(context.Background())
 	var others sync.WaitGroup
 	defer others.Wait()
 	defer stop()
 	others.Go(func() { p.follower.Follow(following) })
-	others.Go(func() { p.accept(p.listener) })
+	others.Go(func() {
+		defer close(p.accepted)
+		p.accept(p.listener)
+	})
 	defer p.listener.Close()
 	p.ready.Store(true)
-	done := ctx.Done()
+	done, accepted := ctx.Done(), p.accepted
 	var last <-chan time.Time
 	var batch []func(control.Micros)
 	told := time.NewTicker(10 * time.Second)
@@ -159,16 +203,19 @@
 			last = time.After(servesOn)
 		case <-last:
 			last = nil
-			p.listener.Close()
 			p.stopping = p.now()
+			p.listenNoMore()
+		case <-accepted:
+			accepted = nil
+			p.endClients()
 		}
 		p.pace()
 		batch = p.box.Take(batch)
 		p.turn(p.now(), batch)
-		if p.stopping > 0 && !p.owed() {
+		if accepted == nil && p.served() {
 			break
 		}
-		if p.stopping > 0 { // answers are being written
+		if p.stopping > 0 { // connections are ending
 			p.timer.Reset(min(5*time.Millisecond, span(max(0, p.due-p.now()))))
 		}
 	}
@@ -206,32 +253,37 @@
 	p.prune(now)
 }
 
-// owed tells whether a job still waits for its answer, or an answer to be written.
-func (p *Platform) owed() bool {
-	for _, j := range p.jobs {
-		if !j.state.Given {
-			return true
-		}
-	}
+// listenNoMore has connections accepted that wait already, and no others.
+func (p *Platform) listenNoMore() { p.listener.SetDeadline(time.Now().Add(lastLook)) }
+
+// endClients ends the clients' connections, each once nothing is open on it and nothing left to read.
+func (p *Platform) endClients() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for c := range p.clients {
-		if !c.idle() || !c.box.drained() {
-			return true
-		}
+		c.end(lingerIdle)
 	}
-	return false
 }
 
-func (p *Platform) closeAll() {
+// served tells whether every client's connection has ended, and with them all that was owed.
+func (p *Platform) served() bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for c := range p.clients {
-		c.box.end()
+	return len(p.clients) == 0
+}
+
+// caught keeps a fault of our own on one connection from ending the others. It is told, since it needs mending.
+func (p *Platform) caught(at string) {
+	if fault := recover(); fault != nil {
+		p.count("fault of our own " + at)
+		p.log.Error().Str("at", at).Interface("fault", fault).Bytes("stack", debug.Stack()).Msg("fault of our own")
 	}
+}
+
+func (p *Platform) closeAll() {
 	for _, pl := range p.pools {
 		for _, l := range pl.links {
-			l.box.close()
+			l.close()
 		}
 	}
 }
@@ -275,7 +327,7 @@
 	p.jobs[j.id] = j
 	err := p.core.Arrived(now, control.Job{ID: j.id, Workload: j.workload, Tenant: j.tenant, Function: j.ask.FunctionID(),
 		Lanes: j.ask.Lanes, Work: j.ask.Work, LoadTime: j.ask.LoadTime, Arrived: now,
-		Patience: now + max(0, j.ask.Patience-onTheWay), Repeat: j.ask.Repeat})
+		Patience: max(now, j.read+j.ask.Patience-onTheWay), Repeat: j.ask.Repeat})
 	if err != nil {
 		p.log.Error().Err(err).Msg("job not taken")
 		delete(p.jobs, j.id)
--- a/internal/platform/platform_test.go
+++ b/internal/platform/platform_test.go
@@ -20,7 +20,6 @@
 	"go.uber.org/goleak"
 
 	"hollymast/control"
-	"hollymast/internal/binframe"
 	"hollymast/internal/board"
 	"hollymast/internal/fleet"
 )
@@ -131,11 +130,15 @@
 	ended chan struct{}
 }
 
+// configuration is one without servers.
+func configuration(boardAt string) string {
+	return fmt.Sprintf(`{"name": "n0", "listen": "127.0.0.1:0", "seed": "8c1f30d27a5be964", "board": %q,
+		"limits": {"cores": 1, "memory_mb": 64, "sockets": 256}, "known": {"rev": 0, "notices": []}, "settings": %s}`, boardAt, settings)
+}
+
 func start(t *testing.T, boardAt string, servers ...string) *running {
 	t.Helper()
-	text := fmt.Sprintf(`{"name": "n0", "listen": "127.0.0.1:0", "seed": "8c1f30d27a5be964", "board": %q,
-		"limits": {"cores": 1, "memory_mb": 64, "sockets": 256}, "known": {"rev": 0, "notices": []}, "settings": %s}`, boardAt, settings)
-	told, err := parseTold([]byte(text), Environment{})
+	told, err := parseTold([]byte(configuration(boardAt)), Environment{})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -381,16 +384,14 @@
 		id := fleet.ID("s-0")
 		s := r.sending(id, 1_000_000)
 		s.order.Server = id
-		s.link = &link{p: r.Platform, out: map[binframe.ID]*sending{1: s}}
 		s.id, s.timer = 1, time.NewTimer(time.Hour)
 		pl := r.pools[id]
 		if pl == nil {
 			pl = &pool{id: id, address: "elsewhere"}
 			r.pools[id] = pl
 		}
-		s.link.pool = pl
-		pl.links = append(pl.links, s.link)
-		r.linked++
+		s.link = r.newLink(now, pl)
+		s.link.out[1] = s
 		r.listed(now, []fleet.Entry{{Name: "s-0", Address: pl.address, Zone: "east"}}) // draining, or gone
 		done <- s.state.Over && !s.begin()
 	})
--- a/internal/platform/servers.go
+++ b/internal/platform/servers.go
@@ -2,10 +2,13 @@
 
 import (
 	"bufio"
+	"context"
 	"errors"
 	"net"
 	"os"
+	"slices"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"hollymast/control"
@@ -32,6 +35,14 @@
 	retired bool // takes nothing new: an answer is owed that nobody waits for, or its server is gone
 	since   control.Micros
 	partial atomic.Bool // a write ended within a frame
+	dialing context.Context
+	undial  context.CancelFunc
+}
+
+// close ends a connection at once, one that is still dialled too: its descriptor is another's then.
+func (l *link) close() {
+	l.box.close()
+	l.undial()
 }
 
 // sending is one execution or order on its way.
@@ -54,10 +65,11 @@
 
 func (s *sending) withdraw() bool { return attempt.Step(&s.stage, attempt.Stage.Withdraw) }
 
-// begin is asked right before the first byte.
+// begin is asked right before the first byte. That its client has left is seen here without waiting for a turn.
 func (s *sending) begin() bool {
 	now := s.p.now()
-	ok := attempt.Step(&s.stage, func(st attempt.Stage) (attempt.Stage, bool) { return st.Write(true, now, s.until) })
+	wanted := s.job == nil || !s.job.gone.Load()
+	ok := attempt.Step(&s.stage, func(st attempt.Stage) (attempt.Stage, bool) { return st.Write(wanted, now, s.until) })
 	if !ok {
 		s.p.box.Tell(func(now control.Micros) {
 			s.withdraw()
@@ -92,8 +104,9 @@
 	p.box.Tell(func(now control.Micros) { p.ended(now, s, control.NeverSent, nil) })
 }
 
-// link finds a connection: one with nothing open, else a new one, else the one with the least open. One execution a
-// connection as long as descriptors last: a spoilt answer costs all that is open on its connection.
+// link finds a connection: one with nothing open, else a new one, else the one with the least open; of equal ones one that
+// stands. One execution a connection as long as descriptors last: a spoilt answer costs all that is open on its
+// connection. A job's further execution goes on another, where no second answer to the earlier one can be taken for its own.
 func (p *Platform) link(now control.Micros, s *sending) *link {
 	pl := p.pools[s.to]
 	if pl == nil {
@@ -103,24 +116,48 @@
 	}
 	var best *link
 	for _, l := range pl.links {
-		if l.retired || l.out[s.id] != nil || len(l.out) >= p.told.streams {
+		if l.retired || l.out[s.id] != nil || len(l.out) >= p.told.streams || s.wentOn(l) {
 			continue
 		}
-		if best == nil || len(l.out) < len(best.out) || len(l.out) == len(best.out) && l.since > best.since {
+		if best == nil || l.before(best) {
 			best = l
 		}
 	}
 	if best != nil && len(best.out) == 0 || p.linked >= p.mostLinks && !p.freeLink() {
 		return best
 	}
+	l := p.newLink(now, pl)
+	go l.serve()
+	return l
+}
+
+func (p *Platform) newLink(now control.Micros, pl *pool) *link {
 	l := &link{p: p, pool: pl, out: map[binframe.ID]*sending{}, since: now}
+	l.dialing, l.undial = context.WithTimeout(context.Background(), span(p.told.connecting))
 	l.box.most = linkUnread
 	pl.links = append(pl.links, l)
 	p.linked++
-	go l.serve()
 	return l
 }
 
+// before tells which of two connections takes a sending.
+func (l *link) before(other *link) bool {
+	switch {
+	case len(l.out) != len(other.out):
+		return len(l.out) < len(other.out)
+	case l.up != other.up:
+		return l.up
+	}
+	return l.since > other.since
+}
+
+// wentOn tells whether an earlier execution of the same job was written to a connection.
+func (s *sending) wentOn(l *link) bool {
+	return s.job != nil && slices.ContainsFunc(s.job.executions, func(earlier *sending) bool {
+		return earlier.link == l && attempt.Stage(earlier.stage.Load()) == attempt.Writing
+	})
+}
+
 // linkUnread is how much may wait for a server to read: with the longest bodies, as many as share a connection.
 const linkUnread = 2 << 20
 
@@ -151,7 +188,9 @@
 			break
 		}
 	}
-	l.box.end()
+	if l.box.end(); !l.up && len(l.out) == 0 { // a dial that nothing waits for
+		l.undial()
+	}
 }
 
 // retire has a connection take nothing new; it ends with the last that is open on it.
@@ -166,11 +205,21 @@
 
 func (l *link) serve() {
 	p := l.p
-	conn, err := net.DialTimeout("tcp", l.pool.address, span(p.told.connecting))
+	broke := func(result control.Result) {
+		l.close()
+		p.box.Tell(func(now control.Micros) { p.broke(now, l, result) })
+	}
+	end := control.Errored // should a fault of our own end this: what was written may have run
+	defer p.caught("reading a server")
+	defer func() { broke(end) }()
+	conn, err := l.dial()
 	if err != nil {
-		l.box.close()
-		p.count("no connection to a server")
-		p.box.Tell(func(now control.Micros) { p.broke(now, l, control.NoConnection) })
+		end = control.NoConnection
+		if outOfDescriptors(err) || errors.Is(err, context.Canceled) {
+			end = control.NeverSent // says nothing of the server
+		} else {
+			p.count("no connection to a server")
+		}
 		return
 	}
 	l.box.up(conn)
@@ -180,19 +229,41 @@
 		conn.SetReadDeadline(time.Time{})
 		a, err := binframe.Read(in, func() { conn.SetReadDeadline(time.Now().Add(stallMost)) })
 		if err != nil {
-			l.box.close()
-			result := control.Reset
+			end = control.Reset
 			if why := spoilt(err); why != "" {
-				result = control.Errored // the server answers; what it said can't be read
+				end = control.Errored // the server answers; what it said can't be read
 				p.count("spoilt answer: " + why)
 			}
-			p.box.Tell(func(now control.Micros) { p.broke(now, l, result) })
 			return
 		}
 		p.box.Tell(func(now control.Micros) { p.heard(now, l, a) })
 	}
 }
 
+// dial connects. Where descriptors are short for it, idle clients make room.
+func (l *link) dial() (net.Conn, error) {
+	for {
+		conn, err := new(net.Dialer).DialContext(l.dialing, "tcp", l.pool.address)
+		if !outOfDescriptors(err) {
+			return conn, err
+		}
+		l.p.count("out of descriptors for a server")
+		if !l.p.makeRoom(true) {
+			select {
+			case <-l.dialing.Done():
+				return nil, err
+			case <-time.After(closing):
+			}
+		}
+	}
+}
+
+// outOfDescriptors tells of a fault that is ours.
+func outOfDescriptors(err error) bool {
+	return errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE) || errors.Is(err, syscall.ENOBUFS) ||
+		errors.Is(err, syscall.EADDRNOTAVAIL)
+}
+
 // spoilt tells what was wrong with an answer; empty where the connection itself ended.
 func spoilt(err error) string {
 	if errors.Is(err, os.ErrDeadlineExceeded) {
--- a/internal/platform/told.go
+++ b/internal/platform/told.go
@@ -9,6 +9,7 @@
 	"net/netip"
 	"os"
 	"strconv"
+	"time"
 
 	"hollymast/control"
 	"hollymast/internal/board"
@@ -73,6 +74,20 @@
 	return t, nil
 }
 
+// halfWritten is for how long a file that ends too early may be on its way at the start.
+const halfWritten = time.Second
+
+// FirstTold is ReadTold at a start, which may meet the file while it is written.
+func FirstTold(env Environment) (*Told, error) {
+	for begin := time.Now(); ; time.Sleep(rereadFirst) {
+		t, err := ReadTold(env)
+		var syntax *json.SyntaxError
+		if !errors.As(err, &syntax) || time.Since(begin) > halfWritten {
+			return t, err
+		}
+	}
+}
+
 func parseTold(text []byte, env Environment) (*Told, error) {
 	var d document
 	if err := json.Unmarshal(text, &d); err != nil {
