Room for connections is made before the bound, and never of one with a job open

Connections are now told to end 32 before the bound, without waiting; only those that are read on after their end are closed at once; one that has begun a message and said nothing else counts as silent. Tests: a job crosses the making of room; half messages and connections that stay, by the hundred, leave a usual client its answers.

--- a/internal/platform/clients.go
+++ b/internal/platform/clients.go
@@ -1,10 +1,12 @@
 package platform
 
 import (
+	"cmp"
 	"errors"
 	"io"
 	"net"
 	"os"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -26,11 +28,13 @@
 	owed     int             // answers to isWell
 	awaiting bool            // the reader waits between messages
 	dismiss  bool            // it ends as soon as nothing is open
+	short    bool            // and no message is waited for
 	faults   int
 	spoke    atomic.Bool   // a whole message was read
 	quiet    atomic.Int64  // since when nothing is open, the router's time
 	linger   time.Duration // how long the other direction is read after all is written
 	gone     chan struct{} // closed once the descriptor is free
+	leaving  atomic.Bool   // all is written; it is only read on
 	hurried  atomic.Bool
 	now      chan struct{} // closed where it is not read on
 }
@@ -51,10 +55,11 @@
 	// A connection that ends idle is read on for as long as a request may cross the close. One that ends after a message
 	// that can't be read is given the time to read why: the rest of 3 s after firstWithin, halved.
 	lingerIdle, lingerBad = 50 * time.Millisecond, 500 * time.Millisecond
-	// early is by how many connections room is made before the bound: as many as are accepted while one ends.
-	early = 16
-	// closing is how long an accept waits for a descriptor: a last look, and the reader's turn on a shared core.
-	closing = 20 * time.Millisecond
+	// early is by how many connections room is made before the bound: a thousand a second come while one ends, which takes a
+	// last look, and the reader's turn on a shared core. A quarter of what is kept back for accepts and dials would do.
+	early = 32
+	// closing is how long an accept or a dial waits for a descriptor: several such times.
+	closing = 50 * time.Millisecond
 )
 
 // looking reads from a connection with a deadline. Guards against a deadline that passed while this process stood still:
@@ -90,15 +95,12 @@
 		case err != nil:
 			// Out of descriptors, or the client left already. Guards against a loop at full speed.
 			p.count("accept failed")
-			if !p.makeRoom(true) {
+			if !p.makeRoom(1) {
 				time.Sleep(time.Millisecond)
 			}
 			continue
 		}
-		p.mu.Lock()
-		n := len(p.clients)
-		p.mu.Unlock()
-		if n >= p.mostClients-early && !p.makeRoom(n >= p.mostClients) && n >= p.mostClients {
+		if !p.room() {
 			conn.Close()
 			p.count("client refused: too many connections")
 			continue
@@ -120,48 +122,76 @@
 	return c
 }
 
-// makeRoom ends a connection: one that ends in any case, at once; else the one that has had nothing open for longest, those
-// that have said nothing first. It may wait until the descriptor is free.
-func (p *Platform) makeRoom(wait bool) bool {
+// room tells whether there is room for one more connection, and makes some before it is short: ending one takes a last look
+// at it, for which accepts should not have to wait.
+func (p *Platform) room() bool {
 	p.mu.Lock()
-	var worst *client
-	ending := false
-	for c := range p.clients {
-		idle, ends := c.idle()
-		if ends && !c.hurried.Load() {
-			worst, ending = c, true
-			break
-		}
-		if !idle || ends {
-			continue
-		}
-		if worst == nil || !c.spoke.Load() && worst.spoke.Load() ||
-			c.spoke.Load() == worst.spoke.Load() && c.quiet.Load() < worst.quiet.Load() {
-			worst = c
-		}
-	}
+	over := len(p.clients) + 1 - (p.mostClients - early)
 	p.mu.Unlock()
-	if worst == nil {
-		return false
-	}
-	p.count("idle client closed to make room")
-	if worst.end(0); ending {
-		worst.hurry()
+	if over <= 0 {
+		return true
 	}
-	if !wait {
+	if over <= early {
+		p.end(over)
 		return true
 	}
+	return p.makeRoom(over)
+}
+
+// makeRoom ends connections, and waits until the first of them has given its descriptor back.
+func (p *Platform) makeRoom(n int) bool {
+	first := p.end(n)
+	if first == nil {
+		return false
+	}
 	select {
-	case <-worst.gone:
+	case <-first.gone:
 		return true
 	case <-time.After(closing):
 		return false
 	}
 }
 
-// hurry closes a connection that ends, read on or not.
+// end has n connections end, those counted that do already: first the ones that are only read on, which close at once; then
+// those that have had nothing open for longest, before them those that have said nothing. It gives the first.
+func (p *Platform) end(n int) (first *client) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var idle []*client
+	for c := range p.clients {
+		nothing, ends := c.idle()
+		switch {
+		case !nothing:
+			continue
+		case ends:
+			c.hurry()
+			first = c
+			n--
+		default:
+			idle = append(idle, c)
+		}
+	}
+	slices.SortFunc(idle, func(a, b *client) int {
+		if a.spoke.Load() != b.spoke.Load() {
+			if b.spoke.Load() {
+				return -1
+			}
+			return 1
+		}
+		return cmp.Compare(a.quiet.Load(), b.quiet.Load())
+	})
+	for _, c := range idle[:max(0, min(n, len(idle)))] {
+		c.cut()
+		if p.counts["idle client closed to make room"]++; first == nil {
+			first = c
+		}
+	}
+	return first
+}
+
+// hurry closes a connection at once that is only read on.
 func (c *client) hurry() {
-	if c.hurried.CompareAndSwap(false, true) {
+	if c.leaving.Load() && c.hurried.CompareAndSwap(false, true) {
 		close(c.now)
 		c.box.close()
 	}
@@ -180,10 +210,22 @@
 func (c *client) end(linger time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.dismiss, c.linger = true, linger
+	if c.dismiss = true; !c.short {
+		c.linger = linger
+	}
 	c.wake()
 }
 
+// cut has the reader end the connection though a message has begun: guards against those that never end, by the hundred.
+func (c *client) cut() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.dismiss, c.short, c.linger = true, true, 0
+	if c.nothing() {
+		c.conn.SetReadDeadline(time.Now())
+	}
+}
+
 // wake wakes a reader that waits for a message on a connection that may end.
 func (c *client) wake() {
 	if c.dismiss && c.awaiting && c.nothing() {
@@ -219,6 +261,20 @@
 	}
 }
 
+// expect sets how long a message that has begun may take.
+func (c *client) expect(first time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch {
+	case c.short:
+		c.in.until(time.Now())
+	case !c.spoke.Load():
+		c.in.until(first)
+	default:
+		c.in.until(time.Now().Add(restWithin))
+	}
+}
+
 // read reads until the connection ends. It owns the connection's end: all that is open then is over.
 func (c *client) read() {
 	defer c.p.caught("reading a client")
@@ -232,11 +288,7 @@
 			}
 			return
 		}
-		rest := time.Now().Add(restWithin)
-		if !c.spoke.Load() {
-			rest = first
-		}
-		c.in.until(rest)
+		c.expect(first)
 		m, err := in.Read()
 		var fault *msgrpc.Fault
 		switch {
@@ -378,6 +430,7 @@
 	c.box.end()
 	select {
 	case <-c.box.written:
+		c.leaving.Store(true)
 		c.readOn(linger)
 	case <-time.After(writeTime):
 	}
--- a/internal/platform/crossing_test.go
+++ b/internal/platform/crossing_test.go
@@ -115,6 +115,20 @@
 	c.expect("closed")
 }
 
+// Room is asked for while a job is open on a connection that is to end: it is not that one which is closed at once.
+func TestRoomCrossesAJob(t *testing.T) {
+	held := make(chan asked, 1)
+	r := start(t, plane(t, 1), worker(t, func(a asked) { held <- a }))
+	c, ours := r.crossing(t, func(*caller, int, error) {})
+	c.call(1, "again")
+	a := <-held
+	ours.cut()
+	r.makeRoom(1)
+	good(a)
+	c.expect("1: body 1")
+	c.expect("closed")
+}
+
 // A first message that came while the process stood still counts as in time.
 func TestMessageCrossesItsDeadline(t *testing.T) {
 	r := start(t, plane(t, 1), worker(t, good))
--- a/internal/platform/platform_test.go
+++ b/internal/platform/platform_test.go
@@ -358,6 +358,24 @@
 	c.expect("1: body 1")
 }
 
+// So do those that have begun a message, or asked once and stay: neither costs a usual client its answer.
+func TestManyHalfMessagesLeaveRoom(t *testing.T) {
+	r := start(t, plane(t, 1), worker(t, good))
+	usual := r.caller(t)
+	for n := 1; n <= r.mostClients; n++ {
+		half, stays := r.caller(t), r.caller(t)
+		half.conn.Write([]byte{0x94, 0, 1})
+		stays.send(0, 1, "isWell", []any{map[string]string{}})
+		usual.call(n, "again")
+		usual.expect(fmt.Sprintf("%d: body %d", n, n))
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.counts["client refused: too many connections"] > 0 {
+		t.Errorf("%v", r.counts)
+	}
+}
+
 func TestForgottenJobIsNotAnswered(t *testing.T) {
 	got := make(chan asked, 1)
 	c := start(t, plane(t, 1), worker(t, func(a asked) {
--- a/internal/platform/servers.go
+++ b/internal/platform/servers.go
@@ -248,7 +248,7 @@
 			return conn, err
 		}
 		l.p.count("out of descriptors for a server")
-		if !l.p.makeRoom(true) {
+		if !l.p.makeRoom(1) {
 			select {
 			case <-l.dialing.Done():
 				return nil, err
