--- a/internal/platform/crossing_test.go
+++ b/internal/platform/crossing_test.go
@@ -102,6 +102,15 @@
 	c.expect("closed")
 }
 
+// A job that comes so late after the order to stop that its answer might not come before the kill is pushed back at once.
+func TestJobCrossesTheKill(t *testing.T) {
+	r := start(t, plane(t, 1), worker(t, good))
+	c := r.caller(t)
+	r.box.Tell(func(now control.Micros) { r.stopTold = now - takesOn })
+	c.call(1, "again")
+	c.expect("1: TryLater")
+}
+
 // A connection that is told to end while a job is open ends with that job's answer.
 func TestConnectionEndsAfterItsJob(t *testing.T) {
 	held := make(chan asked, 1)
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -47,7 +47,8 @@
 	due      control.Micros // when the timer fires
 	pruned   control.Micros
 	clock    control.Micros // this turn's, or the last one's
-	stopping control.Micros // since when; 0: not
+	stopTold control.Micros // to stop; 0: not
+	stopping control.Micros // since when nothing more is accepted; 0: not
 	chance   *rand.PCG      // for the ids of orders; decides nothing
 
 	// Shared.
@@ -166,9 +167,13 @@
 	}
 }
 
-// servesOn is for how long a stopping router takes jobs: requests keep coming for 0.6 s, and what comes within 0.7 s is
-// owed an answer.
-const servesOn = 800 * time.Millisecond
+// A stopping router takes jobs for takesOn: they keep coming for 0.6 s. What comes after 0.7 s must have its answer before it is
+// killed, however long the job would take, so that it is pushed back at once; connections are taken for servesOn, longer, for
+// that answer.
+const (
+	takesOn  = 650_000
+	servesOn = 800 * time.Millisecond
+)
 
 // Serve routes until the context ends, serves on for a little, gives each job in hand its answer, and returns once every
 // client's connection has ended: each is read until nothing is left on it.
@@ -198,6 +203,7 @@
 			continue
 		case <-done:
 			done = nil
+			p.stopTold = p.now()
 			p.ready.Store(false)
 			p.log.Info().Int("jobs", len(p.jobs)).Msg("stopping: serving on a little, then answering what is in hand")
 			last = time.After(servesOn)
@@ -311,7 +317,7 @@
 	if j.client.left(j) {
 		return // before this turn
 	}
-	if p.stopping > 0 {
+	if p.stopTold > 0 && j.read >= p.stopTold+takesOn {
 		p.finish(j, msgrpc.PushedBack(j.number, p.told.Deployment.MaxStayAway))
 		return
 	}
