--- a/internal/platform/clients.go
+++ b/internal/platform/clients.go
@@ -125,13 +125,14 @@
 // room tells whether there is room for one more connection, and makes some before it is short: ending one takes a last look
 // at it, for which accepts should not have to wait.
 func (p *Platform) room() bool {
+	before := min(early, p.mostClients/4) // three eighths of all descriptors stay: usual clients hold a third
 	p.mu.Lock()
-	over := len(p.clients) + 1 - (p.mostClients - early)
+	over := len(p.clients) + 1 - (p.mostClients - before)
 	p.mu.Unlock()
 	if over <= 0 {
 		return true
 	}
-	if over <= early {
+	if over <= before {
 		p.end(over)
 		return true
 	}
