--- a/internal/platform/clients.go
+++ b/internal/platform/clients.go
@@ -58,6 +58,8 @@
 	// early is by how many connections room is made before the bound: a thousand a second come while one ends, which takes a
 	// last look, and the reader's turn on a shared core. A quarter of what is kept back for accepts and dials would do.
 	early = 32
+	// atOnce is how many more are ended than is needed: choosing them takes a look at all. Of some hundred, a few.
+	atOnce = 8
 	// closing is how long an accept or a dial waits for a descriptor: several such times.
 	closing = 50 * time.Millisecond
 )
@@ -133,10 +135,10 @@
 		return true
 	}
 	if over <= before {
-		p.end(over)
+		p.end(over + atOnce)
 		return true
 	}
-	return p.makeRoom(over)
+	return p.makeRoom(over + atOnce)
 }
 
 // makeRoom ends connections, and waits until the first of them has given its descriptor back.
@@ -172,6 +174,9 @@
 			idle = append(idle, c)
 		}
 	}
+	if n <= 0 {
+		return first
+	}
 	slices.SortFunc(idle, func(a, b *client) int {
 		if a.spoke.Load() != b.spoke.Load() {
 			if b.spoke.Load() {
@@ -181,7 +186,7 @@
 		}
 		return cmp.Compare(a.quiet.Load(), b.quiet.Load())
 	})
-	for _, c := range idle[:max(0, min(n, len(idle)))] {
+	for _, c := range idle[:min(n, len(idle))] {
 		c.cut()
 		if p.counts["idle client closed to make room"]++; first == nil {
 			first = c
