The ration of orders is counted where they arrive: late ones still fall into the window

At fault: ration's window in control.go, exact by the times of choice. It is now wider for orders and narrower for jobs by how late an order may be written, which the platform's router states (half the grace, its own bound). Excluded: a second writing of an order, more than one for a choice. Sites without a ration are not touched. The test fails without the mend.

--- a/control/control.go
+++ b/control/control.go
@@ -590,8 +590,8 @@
 // ration keeps the fifth rule.
 func (r *Router) ration(now Micros) bool {
 	if r.told.LoadWindow > 0 {
-		begin := now - r.told.LoadWindow
-		r.orders, r.taken = after(r.orders, begin), after(r.taken, begin+r.told.Tick)
+		begin, late := now-r.told.LoadWindow, r.told.Late // an earlier order may arrive late, this one not
+		r.orders, r.taken = after(r.orders, begin-late), after(r.taken, begin+max(r.told.Tick, late))
 		if float64(len(r.orders)+1) > r.told.LoadFree+r.told.LoadShare*float64(len(r.taken)) {
 			return false
 		}
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -342,6 +342,22 @@
 	}
 }
 
+// The ration is counted where orders arrive: an earlier one that waited for its connection may still fall into the window, and
+// jobs that were taken before it began do not.
+func TestRationOfLateOrders(t *testing.T) {
+	told := deployment()
+	told.LoadWindow, told.LoadFree, told.LoadShare, told.Late = 5*second, 1, 1, second/4
+	for name, c := range map[string]struct{ orders, taken []Micros }{
+		"a late order": {[]Micros{at - 5*second - second/5}, nil},
+		"an early job": {[]Micros{at - second}, []Micros{at - 5*second + second/5}},
+	} {
+		r := fleet(told, 1)
+		if r.orders, r.taken = c.orders, c.taken; r.ration(at) {
+			t.Errorf("%s: another order was given", name)
+		}
+	}
+}
+
 // A flaky network breaks some connections while the rest are answered: that is no crash.
 func TestOneBreakIsNoDeath(t *testing.T) {
 	r := fleet(deployment(), 1)
--- a/control/types.go
+++ b/control/types.go
@@ -67,7 +67,8 @@
 	LoadWindow    Micros // of the ration of orders to load; 0: no ration
 	LoadFree      float64
 	LoadShare     float64
-	LoadsOnMiss   bool // a job loads its function where it is missing
+	Late          Micros // how long after it was chosen an order may be written, at most
+	LoadsOnMiss   bool   // a job loads its function where it is missing
 }
 
 // Listing is what the list says of one server.
--- a/internal/platform/told.go
+++ b/internal/platform/told.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"hollymast/control"
+	"hollymast/internal/attempt"
 	"hollymast/internal/board"
 	"hollymast/internal/terms"
 	"hollymast/internal/wire"
@@ -101,6 +102,7 @@
 	if err != nil {
 		return nil, err
 	}
+	deployment.Late = attempt.Fresh(control.Micros(boot.Contract.StopSending))
 	const plenty = 20_000 // as the start settings allow a router to hold open
 	t := &Told{Name: cmp.Or(env.Name, d.Name), Listen: cmp.Or(env.Listen, d.Listen), Cores: d.Limits.Cores,
 		MemoryMB: int(d.Limits.MemoryMB), Sockets: cmp.Or(d.Limits.Sockets, plenty), Board: d.Board, Known: d.Known,
