Where only orders load and the ration gives none, a job goes once where others load it

Rejected: taking the ration as larger than told.

TestWaitForAnOrderEndsBeforePatience gave its job no earlier execution; such a job now goes out first. The job has one now, and is held to the same bound.

--- a/control/control.go
+++ b/control/control.go
@@ -21,9 +21,8 @@
 }
 
 // Recall takes back what an earlier life remembered; call it after Start, before all else. What limits us
-// counts whatever its age, an order or a job sent at a time still to come as now: a clock was set back, and it
-// may be fresh. Beliefs count for as long as they would have. How long executions and loads take is no part of
-// it: a few answers tell, and what was wrong about it would keep them from coming (docs/memory.md).
+// counts whatever its age, an order or a job sent at a time still to come as now: it may be fresh. Beliefs count
+// for as long as they would have. How long executions and loads take is no part of it (docs/memory.md).
 func (r *Router) Recall(now Micros, m *Memory) {
 	const lately = 60_000_000 // six times as long as answers count
 	r.orders, r.taken = notAfter(m.Orders, now), upTo(m.Taken, now)
@@ -562,7 +561,8 @@
 }
 
 // load starts a load for a job. Where a job loads what is missing it goes by itself: so it finds what others
-// loaded, for no price. An order goes before it for one copy more, or where only orders load.
+// loaded, for no price. An order goes before it for one copy more, or where only orders load: there a job goes
+// once without, when the ration gives none, since others may have loaded it and a miss never ran.
 func (r *Router) load(now Micros, f *function, j *Job, s *server) Placement {
 	in := f.at(s, true)
 	if !r.warm(now, in) {
@@ -575,12 +575,14 @@
 		in.loading, in.since = 1, now
 		return r.send(now, f, j, in)
 	}
-	p := Placement{Verb: Hold, Rank: r.Rank(now, j), Again: now + checkEvery}
-	if !r.told.Orders || !r.ration(now) {
-		return p
+	if given := r.told.Orders && r.ration(now); !given && !r.told.LoadsOnMiss && len(j.Executions) == 0 {
+		return r.send(now, f, j, in)
+	} else if !given {
+		return Placement{Verb: Hold, Rank: r.Rank(now, j), Again: now + checkEvery}
 	}
+	p := Placement{Verb: Hold, Rank: r.Rank(now, j), Again: now + 30_000}
 	in.loading, in.since = in.loading+1, now
-	if p.Again = now + 30_000; r.told.LoadsOnMiss { // else a job would overtake its order and only miss
+	if r.told.LoadsOnMiss { // else a job would overtake its order and only miss
 		p = r.send(now, f, j, in)
 	}
 	p.Orders = []Order{{s.Server, f.id, min(16, in.copies+in.loading)}}
@@ -807,9 +809,8 @@
 	f.due = min(few, int(math.Ceil(float64(held-slots)/perLane))-loading)
 }
 
-// tidy forgets what is long idle, so that a router may serve for months, and names that nobody knows cost no
-// more than their jobs. Only beyond many functions does any go: one with nothing held or out, and no copy
-// believed loaded or coming, which loses only its execution times. A server goes long after it left the list.
+// tidy forgets what is long idle, so that a router may serve for months: beyond many functions one with nothing
+// held or out, and no copy believed loaded or coming; and a server long after it left the list.
 func (r *Router) tidy(now Micros) {
 	const many = 1 << 14  // some 20 MB; a check of all takes a fraction of a millisecond
 	const batch = 1 << 11 // looked at in one upkeep: more new names a second than a router takes jobs
@@ -845,9 +846,8 @@
 	})
 }
 
-// examine looks for servers that owe answers for longer than recent answers explain. Guards against
-// machines that hang or vanish without a word; where most servers owe alike the cause lies elsewhere, in
-// the store or the network, and none is suspected.
+// examine looks for servers that owe answers for longer than recent ones explain. Guards against machines that
+// hang or vanish without a word; where most owe alike the cause lies elsewhere, and none is suspected.
 func (r *Router) examine(now Micros) {
 	limit := 4 * quantile(r.latencies.since(0), 0.9)
 	if limit == 0 {
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -454,12 +454,27 @@
 	told.LoadsOnMiss, told.Orders = false, false
 	r := fleet(told, 1)
 	j := newJob(1)
+	j.Executions = []Execution{{Done: true}} // it was looked for where others load it
 	j.Patience = at + 75_000
 	if p := r.Place(at, j); p.Verb != Hold || p.Again >= j.Patience {
 		t.Errorf("got %+v, want it asked about again before %d", p, j.Patience)
 	}
 }
 
+// Where only orders load and the ration gives none, a job goes once where others load its function, then waits.
+func TestJobGoesWhereOthersLoad(t *testing.T) {
+	told := deployment()
+	told.LoadsOnMiss, told.LoadWindow = false, 5*second
+	r := fleet(told, 1)
+	j := newJob(1)
+	if p := r.Place(at, j); p.Verb != Send || len(p.Orders) > 0 {
+		t.Fatalf("got %+v, want it sent without an order", p)
+	}
+	if p := r.After(at+1000, j, Outcome{Server: 1, Result: Missing}); p.Verb != Hold {
+		t.Errorf("got %+v after a miss, want it held", p)
+	}
+}
+
 // Many routers must not all crowd one copy, nor part without need: one home, several for what draws much.
 func TestManyRoutersShareHomes(t *testing.T) {
 	for recent, want := range map[int]int{1: 1, 11: 8} { // a tenth of the jobs: four servers' part, eight homes
