--- a/internal/platform/clients.go
+++ b/internal/platform/clients.go
@@ -261,7 +261,10 @@
 		if err == nil {
 			return true
 		}
-		if nothing || !errors.Is(err, os.ErrDeadlineExceeded) {
+		if late := errors.Is(err, os.ErrDeadlineExceeded); nothing || !late {
+			if late && !c.spoke.Load() {
+				c.p.count("client closed: no whole message in time")
+			}
 			return false
 		}
 	}
@@ -289,9 +292,6 @@
 	first := time.Now().Add(firstWithin)
 	for {
 		if !in.Buffered() && !c.await(in, first) {
-			if !c.spoke.Load() {
-				c.p.count("client closed: no whole message in time")
-			}
 			return
 		}
 		c.expect(first)
