--- a/internal/platform/crossing_test.go
+++ b/internal/platform/crossing_test.go
@@ -344,6 +344,42 @@
 	}
 }
 
+// So is one that a start meets half written.
+func TestStartCrossesTheWriting(t *testing.T) {
+	whole := configuration("127.0.0.1:1")
+	env := Environment{File: filepath.Join(t.TempDir(), "config.json")}
+	if err := os.WriteFile(env.File, []byte(whole[:len(whole)/2]), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := ReadTold(env); err == nil {
+		t.Fatal("half of it was taken")
+	}
+	written := time.AfterFunc(halfWritten/4, func() { os.WriteFile(env.File, []byte(whole), 0o600) })
+	defer written.Stop()
+	if _, err := FirstTold(env); err != nil {
+		t.Error(err)
+	}
+}
+
+// A router whose turns stand still doesn't say that it is well, though its readers go on.
+func TestWellCrossesAStandingTurn(t *testing.T) {
+	r := start(t, plane(t, 1), worker(t, good))
+	turn := make(chan bool)
+	r.box.Tell(func(control.Micros) { <-turn })
+	c, ours := r.crossing(t, func(*caller, int, error) {})
+	c.send(0, 1, "isWell", []any{map[string]string{}})
+	until(t, "the question is read", func() bool {
+		ours.mu.Lock()
+		defer ours.mu.Unlock()
+		return ours.owed == 1
+	})
+	if idle, _ := ours.idle(); idle || !ours.box.drained() {
+		t.Error("it was answered")
+	}
+	close(turn)
+	c.expect("1: true")
+}
+
 // A fault of our own on one connection ends that one, and is told; the others go on.
 func TestFaultOnOneConnection(t *testing.T) {
 	r := start(t, plane(t, 1), worker(t, good))
