One backoff for control planes and the notice board; tests for mends that had none

Seen on rereading: the board's pauses were internal/xds.Backoff written again, with other spans. Platform.stopping was derived from what Serve knows and is a local there. The gateway's orders wait for as long as the platform's (both write a choice until half the grace), but only the platform told the module how late they may be: the ration's fix stood in one of two places. The gateway tells it too.

--- a/internal/board/follow.go
+++ b/internal/board/follow.go
@@ -5,11 +5,11 @@
 	"context"
 	"errors"
 	"fmt"
-	"math/rand/v2"
 	"net"
 	"sync"
 	"time"
 
+	"hollymast/internal/backoff"
 	"hollymast/internal/fleet"
 )
 
@@ -23,13 +23,13 @@
 	known   *Known // of a new configuration, not yet taken in
 	conn    net.Conn
 	turned  chan struct{} // holds one: the address changed
-	chance  *rand.Rand    // for pauses; decides nothing else
+	pause   *backoff.Backoff
 }
 
 // NewFollower follows from a state on. Told hears each new list, Note what went wrong.
 func NewFollower(state State, address string, seed uint64, told func([]fleet.Entry), note func(string, error)) *Follower {
 	return &Follower{state: state, address: address, told: told, note: note, turned: make(chan struct{}, 1),
-		chance: rand.New(rand.NewPCG(seed, 1))}
+		pause: backoff.New(seed, pauseFirst, pauseMost)}
 }
 
 // Turn has the follower go on at another address, and take in what a new configuration knows.
@@ -58,11 +58,6 @@
 	maxLine = 4 << 20
 )
 
-// wait draws a pause: between a half and the whole, so that routers that lost the board together do not come back together.
-func (f *Follower) wait(pause time.Duration) time.Duration {
-	return pause/2 + time.Duration(f.chance.Int64N(int64(pause/2)))
-}
-
 // Follow runs until the context ends.
 func (f *Follower) Follow(ctx context.Context) {
 	stop := context.AfterFunc(ctx, func() {
@@ -73,7 +68,6 @@
 		}
 	})
 	defer stop()
-	pause := pauseFirst
 	for ctx.Err() == nil {
 		before, began := f.state.Last(), time.Now()
 		err := f.listen(ctx)
@@ -82,13 +76,12 @@
 		}
 		f.note("asking the notice board again", err)
 		if f.state.Last() > before || time.Since(began) >= silence { // it was worth asking
-			pause = pauseFirst
+			f.pause.Well()
 		}
 		select {
-		case <-time.After(f.wait(pause)):
-			pause = min(2*pause, pauseMost)
+		case <-time.After(f.pause.Next()):
 		case <-f.turned:
-			pause = pauseFirst
+			f.pause.Well()
 		case <-ctx.Done():
 		}
 	}
--- a/internal/gateway/told.go
+++ b/internal/gateway/told.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"hollymast/control"
+	"hollymast/internal/attempt"
 	"hollymast/internal/fleet"
 	"hollymast/internal/inifile"
 	"hollymast/internal/keyring"
@@ -162,6 +163,7 @@
 		s.Fault("load_window", "load_free and load_share mean nothing without it")
 	}
 	t.Grace = s.Span("grace", 500*time.Millisecond, 10*time.Millisecond, time.Hour)
+	d.Late = attempt.Fresh(micros(t.Grace))
 	t.OrderTime = s.Span("order_time", 30*time.Second, time.Millisecond, time.Hour)
 	d.Cancels = true // closing its connection calls an execution off
 
--- a/internal/platform/crossing_test.go
+++ b/internal/platform/crossing_test.go
@@ -401,3 +401,103 @@
 		return r.counts["fault of our own reading a client"] == 1
 	})
 }
+
+// A fault of our own on a connection to a server ends that one.
+func TestFaultOnOneServerConnection(t *testing.T) {
+	r := start(t, plane(t, 1), worker(t, good))
+	c := r.caller(t)
+	c.call(1, "again")
+	c.expect("1: body 1")
+	r.box.Tell(func(now control.Micros) {
+		l := r.newLink(now, r.pools[fleet.ID("s-0")])
+		l.dialing = nil // the dial panics
+		go l.serve()
+	})
+	until(t, "the fault is told", func() bool {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		return r.counts["fault of our own reading a server"] == 1
+	})
+	c.call(2, "again")
+	c.expect("2: body 2")
+}
+
+// A client that leaves before its first message was not too slow.
+func TestLeavingIsNotCountedAsSlow(t *testing.T) {
+	r := start(t, plane(t, 1), worker(t, good))
+	c, ours := r.crossing(t, func(*caller, int, error) {})
+	c.conn.Close()
+	<-ours.gone
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if n := r.counts["client closed: no whole message in time"]; n > 0 {
+		t.Errorf("counted %d times", n)
+	}
+}
+
+// What a client allows runs from when its message was read, though the turn comes later.
+func TestPatienceCrossesAStandingTurn(t *testing.T) {
+	got := make(chan asked, 1)
+	r := start(t, plane(t, 1), worker(t, func(a asked) { got <- a; good(a) }))
+	const stood = 300
+	turn := make(chan bool)
+	r.box.Tell(func(control.Micros) { <-turn })
+	c, ours := r.crossing(t, func(*caller, int, error) {})
+	c.call(1, "again")
+	until(t, "the job is read", func() bool { idle, _ := ours.idle(); return !idle })
+	time.Sleep(stood * time.Millisecond)
+	close(turn)
+	var most int
+	for field := range strings.SplitSeq((<-got).fields, ",") {
+		fmt.Sscanf(field, "max=%d", &most)
+	}
+	if most == 0 || most > 1500-stood {
+		t.Errorf("the server was given %d ms of 1500, %d after they began", most, stood)
+	}
+	c.expect("1: body 1")
+}
+
+// A dial that hangs ends with its connection: its descriptor is another's then.
+func TestDialEndsWithItsConnection(t *testing.T) {
+	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer syscall.Close(fd)
+	if err := errors.Join(syscall.Bind(fd, &syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}), syscall.Listen(fd, 0)); err != nil {
+		t.Fatal(err)
+	}
+	name, err := syscall.Getsockname(fd)
+	if err != nil {
+		t.Fatal(err)
+	}
+	address := fmt.Sprint("127.0.0.1:", name.(*syscall.SockaddrInet4).Port)
+	for { // until its queue is full and a further dial hangs
+		c, err := net.DialTimeout("tcp", address, 200*time.Millisecond)
+		if err != nil {
+			break
+		}
+		defer c.Close()
+	}
+	told, err := parseTold([]byte(configuration("127.0.0.1:1")), Environment{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	told.connecting = 60_000_000
+	p, err := New(told, zerolog.Nop())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer p.listener.Close()
+	l := p.newLink(0, &pool{address: address})
+	ended := make(chan struct{})
+	go func() { l.serve(); close(ended) }()
+	p.drop(l)
+	select {
+	case <-ended:
+	case <-time.After(4 * time.Second):
+		t.Error("the dial goes on")
+		l.undial()
+		<-ended
+	}
+}
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -48,7 +48,6 @@
 	pruned   control.Micros
 	clock    control.Micros // this turn's, or the last one's
 	stopTold control.Micros // to stop; 0: not
-	stopping control.Micros // since when nothing more is accepted; 0: not
 	chance   *rand.PCG      // for the ids of orders; decides nothing
 
 	// Shared.
@@ -189,7 +188,7 @@
 	})
 	defer p.listener.Close()
 	p.ready.Store(true)
-	done, accepted := ctx.Done(), p.accepted
+	done, accepted, ending := ctx.Done(), p.accepted, false
 	var last <-chan time.Time
 	var batch []func(control.Micros)
 	told := time.NewTicker(10 * time.Second)
@@ -209,7 +208,7 @@
 			last = time.After(servesOn)
 		case <-last:
 			last = nil
-			p.stopping = p.now()
+			ending = true
 			p.listenNoMore()
 		case <-accepted:
 			accepted = nil
@@ -221,7 +220,7 @@
 		if accepted == nil && p.served() {
 			break
 		}
-		if p.stopping > 0 { // connections are ending
+		if ending { // connections are ending
 			p.timer.Reset(min(5*time.Millisecond, span(max(0, p.due-p.now()))))
 		}
 	}
--- a/internal/xds/follow.go
+++ b/internal/xds/follow.go
@@ -14,6 +14,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"hollymast/control"
+	"hollymast/internal/backoff"
 )
 
 // Source is a control plane, and what is done with what it tells. All of its functions are called by one goroutine.
@@ -22,7 +23,7 @@
 	Creds   credentials.TransportCredentials // nil: plain text
 	Delta   bool
 	Kind    Kind
-	Seed    uint64 // of the backoff
+	Seed    uint64 // of the waits
 	Now     func() control.Micros
 	Refresh <-chan chan struct{}     // what has come is taken in before each of these is closed; may be nil
 	Changed func(now control.Micros) // something was taken in
@@ -101,15 +102,15 @@
 		return err
 	}
 	defer conn.Close()
-	backoff := NewBackoff(s.Seed)
+	waits := NewBackoff(s.Seed)
 	for ctx.Err() == nil {
-		err := s.one(ctx, conn, f, backoff)
+		err := s.one(ctx, conn, f, waits)
 		if ctx.Err() != nil {
 			break
 		}
 		f.Broken(s.Now())
 		s.tell(f)
-		wait := backoff.Next()
+		wait := waits.Next()
 		s.Note("the stream from " + s.Address + " ended (" + err.Error() + "); the next try is in " + wait.Round(time.Millisecond).String())
 		s.pause(ctx, f, wait)
 	}
@@ -156,7 +157,7 @@
 }
 
 // one is one stream's life.
-func (s Source) one(ctx context.Context, conn *grpc.ClientConn, f Protocol, backoff *Backoff) error {
+func (s Source) one(ctx context.Context, conn *grpc.ClientConn, f Protocol, waits *backoff.Backoff) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	client := discovery.NewAggregatedDiscoveryServiceClient(conn)
@@ -212,7 +213,7 @@
 		}
 	}()
 	take := func(m proto.Message) error {
-		backoff.Well()
+		waits.Well()
 		for _, answer := range f.Heard(s.Now(), m) {
 			if err := st.send(answer); err != nil {
 				return err
