--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -18,6 +18,7 @@
 	"go.uber.org/goleak"
 
 	"hollymast/control"
+	"hollymast/internal/attempt"
 	"hollymast/internal/audit"
 	"hollymast/internal/explain"
 	"hollymast/internal/inifile"
@@ -663,3 +664,18 @@
 		t.Errorf("got %v", h)
 	}
 }
+
+// The module counts the ration of orders by how late one may be written: as late as any choice is.
+func TestLateIsTold(t *testing.T) {
+	in, err := inifile.Read("test.ini", fmt.Appendf(nil, settings, "workers.ini"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	told, err := ReadTold(in)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if late := attempt.Fresh(micros(told.Grace)); told.Deployment.Late != late || late == 0 {
+		t.Errorf("told %d of %d", told.Deployment.Late, late)
+	}
+}
