The first byte to a model server is written with the last check, without waiting

Operators saw requests go to draining or removed servers after the grace. One of the causes that the code allows: the check before the first byte (servers.go, begin) came before SetWriteDeadline and conn.Write (outbox.go, write).

Now the check and a write that never waits are one step under one lock; where the connection has no room the check is made again when it has. Who looks at how far an execution has got takes the same lock, so that an answer can't be read before the stage says that it was written.

Connections carry one execution each as long as descriptors last, so this was rare.

--- a/internal/platform/crossing_test.go
+++ b/internal/platform/crossing_test.go
@@ -213,7 +213,7 @@
 			s := <-chosen
 			leave(c)
 			until(t, "the client's leaving is read", s.job.gone.Load)
-			if s.begin() {
+			if s.begun() {
 				t.Error("it was written")
 			}
 			close(turn)
--- a/internal/platform/outbox.go
+++ b/internal/platform/outbox.go
@@ -1,8 +1,11 @@
 package platform
 
 import (
+	"cmp"
+	"errors"
 	"net"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -22,10 +25,11 @@
 	written chan struct{}
 }
 
-// parcel is one message. Begin may be nil; it is asked right before the first byte, and no withdraws the parcel.
+// parcel is one message. Begin may be nil: else it writes the first bytes by calling write, which never waits, or withdraws the
+// parcel. Write tells whether any byte is out; begin is called again once the connection has room.
 type parcel struct {
 	data  []byte
-	begin func() bool
+	begin func(write func() bool) (withdrawn bool)
 	wrote func(whole bool)
 }
 
@@ -137,12 +141,19 @@
 		}
 		o.size -= len(p.data)
 		o.mu.Unlock()
-		if p.begin != nil && !p.begin() {
-			continue
-		}
 		o.conn.SetWriteDeadline(time.Now().Add(writeTime))
-		n, err := o.conn.Write(p.data)
-		if p.wrote != nil {
+		n, err := 0, error(nil)
+		if p.begin != nil {
+			if n, err = begin(o.conn, p); n == 0 && err == nil {
+				continue // withdrawn
+			}
+		}
+		if err == nil {
+			var more int
+			more, err = o.conn.Write(p.data[n:])
+			n += more
+		}
+		if p.wrote != nil && (n > 0 || p.begin == nil) {
 			p.wrote(n == len(p.data))
 		}
 		if err != nil {
@@ -150,3 +161,26 @@
 		}
 	}
 }
+
+// begin writes the first bytes of a parcel, how many it tells; 0 with no error where it was withdrawn. Guards against a check
+// before the first byte that is no longer true at the first byte: where the connection has no room, the check comes again.
+func begin(conn net.Conn, p parcel) (n int, err error) {
+	raw, err := conn.(syscall.Conn).SyscallConn()
+	if err != nil {
+		return 0, err
+	}
+	var failed error
+	err = raw.Write(func(fd uintptr) bool {
+		room := true
+		write := func() bool {
+			n, failed = syscall.Write(int(fd), p.data)
+			n = max(0, n)
+			if errors.Is(failed, syscall.EAGAIN) || errors.Is(failed, syscall.EINTR) {
+				room, failed = false, nil
+			}
+			return n > 0
+		}
+		return p.begin(write) || room
+	})
+	return n, cmp.Or(failed, err)
+}
--- a/internal/platform/platform_test.go
+++ b/internal/platform/platform_test.go
@@ -412,7 +412,7 @@
 		s.link = r.newLink(now, pl)
 		s.link.out[1] = s
 		r.listed(now, []fleet.Entry{{Name: "s-0", Address: pl.address, Zone: "east"}}) // draining, or gone
-		done <- s.state.Over && !s.begin()
+		done <- s.state.Over && !s.begun()
 	})
 	if !<-done {
 		t.Error("it could still be written")
--- a/internal/platform/servers.go
+++ b/internal/platform/servers.go
@@ -7,6 +7,7 @@
 	"net"
 	"os"
 	"slices"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -57,26 +58,45 @@
 	chosen   control.Micros
 	until    control.Micros // it is not written later
 	deadline control.Micros
+	writing  sync.Mutex   // held from the last check to the first byte
 	stage    atomic.Int32 // an attempt.Stage
 	whole    atomic.Bool  // its last byte was written
 	state    attempt.Sending
 	timer    *time.Timer
 }
 
-func (s *sending) withdraw() bool { return attempt.Step(&s.stage, attempt.Stage.Withdraw) }
+func (s *sending) withdraw() bool {
+	s.writing.Lock()
+	defer s.writing.Unlock()
+	return attempt.Step(&s.stage, attempt.Stage.Withdraw)
+}
+
+// reached is how far it has got.
+func (s *sending) reached() attempt.Stage {
+	s.writing.Lock()
+	defer s.writing.Unlock()
+	return attempt.Stage(s.stage.Load())
+}
 
-// begin is asked right before the first byte. That its client has left is seen here without waiting for a turn.
-func (s *sending) begin() bool {
+// begin is the last check before the first byte, and writes it. That its client has left is seen here without waiting for a
+// turn.
+func (s *sending) begin(write func() bool) (withdrawn bool) {
+	s.writing.Lock()
+	defer s.writing.Unlock()
 	now := s.p.now()
 	wanted := s.job == nil || !s.job.gone.Load()
-	ok := attempt.Step(&s.stage, func(st attempt.Stage) (attempt.Stage, bool) { return st.Write(wanted, now, s.until) })
+	next, ok := attempt.Stage(s.stage.Load()).Write(wanted, now, s.until)
 	if !ok {
 		s.p.box.Tell(func(now control.Micros) {
 			s.withdraw()
 			s.p.ended(now, s, control.NeverSent, nil)
 		})
+		return true
+	}
+	if write() {
+		s.stage.Store(int32(next))
 	}
-	return ok
+	return false
 }
 
 func (s *sending) wrote(whole bool) {
@@ -154,7 +174,7 @@
 // wentOn tells whether an earlier execution of the same job was written to a connection.
 func (s *sending) wentOn(l *link) bool {
 	return s.job != nil && slices.ContainsFunc(s.job.executions, func(earlier *sending) bool {
-		return earlier.link == l && attempt.Stage(earlier.stage.Load()) == attempt.Writing
+		return earlier.link == l && earlier.reached() == attempt.Writing
 	})
 }
 
@@ -283,7 +303,7 @@
 	if s == nil || a.Probe {
 		return
 	}
-	if attempt.Stage(s.stage.Load()) != attempt.Writing {
+	if s.reached() != attempt.Writing {
 		return // an answer to what was not asked yet
 	}
 	p.ended(now, s, a.Result, a)
@@ -300,7 +320,7 @@
 			if r != control.NoConnection {
 				r = control.NeverSent
 			}
-		case attempt.Stage(s.stage.Load()) == attempt.Withdrawn:
+		case s.reached() == attempt.Withdrawn:
 			r = control.NeverSent
 		case l.partial.Load() && !s.whole.Load():
 			r = control.NeverSent // its frame did not come whole
