--- /dev/null
+++ b/cmd/hollymast/standstill_test.go
@@ -0,0 +1,213 @@
+package main
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"hollymast/internal/board"
+	"hollymast/internal/platformtest"
+)
+
+// routerProcess is a router in a process of its own.
+type routerProcess struct {
+	t       *testing.T
+	command *exec.Cmd
+	address string
+}
+
+// startRouter starts the router with a configuration; it is killed at the test's end.
+func startRouter(t *testing.T, configuration string) *routerProcess {
+	t.Helper()
+	name := filepath.Join(t.TempDir(), "config.json")
+	if err := os.WriteFile(name, []byte(configuration), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	command := exec.Command(os.Args[0])
+	command.Env = append(os.Environ(), asRouter+"=platform", "BALANCER_CONFIG="+name)
+	log, err := command.StderrPipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := command.Start(); err != nil {
+		t.Fatal(err)
+	}
+	r := &routerProcess{t: t, command: command}
+	lines := bufio.NewScanner(log)
+	for r.address == "" {
+		if !lines.Scan() {
+			t.Fatalf("it does not serve: %v", command.Wait())
+		}
+		var line struct{ Message, Listen string }
+		if json.Unmarshal(lines.Bytes(), &line); line.Message == "serving" {
+			r.address = line.Listen
+		}
+	}
+	drained := make(chan struct{})
+	go func() {
+		defer close(drained)
+		for lines.Scan() {
+		}
+	}()
+	t.Cleanup(func() {
+		command.Process.Signal(syscall.SIGCONT)
+		command.Process.Kill()
+		<-drained
+		command.Wait()
+	})
+	return r
+}
+
+// stop stops the process and returns once the kernel says that it stands.
+func (r *routerProcess) stop() {
+	r.t.Helper()
+	if err := r.command.Process.Signal(syscall.SIGSTOP); err != nil {
+		r.t.Fatal(err)
+	}
+	for range 1000 {
+		text, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", r.command.Process.Pid))
+		if err != nil {
+			r.t.Fatal(err)
+		}
+		if _, state, _ := strings.Cut(string(text), ") "); strings.HasPrefix(state, "T") {
+			return
+		}
+		time.Sleep(time.Millisecond)
+	}
+	r.t.Fatal("the process does not stop")
+}
+
+func (r *routerProcess) goOn() {
+	r.t.Helper()
+	if err := r.command.Process.Signal(syscall.SIGCONT); err != nil {
+		r.t.Fatal(err)
+	}
+}
+
+// waitWell waits until the router says that it is well.
+func (r *routerProcess) waitWell() *platformtest.Client {
+	r.t.Helper()
+	c := platformtest.Dial(r.t, r.address)
+	for range 1000 {
+		if c.Well() {
+			return c
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	r.t.Fatal("the router does not get well")
+	return nil
+}
+
+const (
+	drainGrace = 500 * time.Millisecond
+	drainSlack = 50 * time.Millisecond // every time limit is this much longer on sockets
+)
+
+// checkNoneAfter fails the test for each frame that came later than the grace after a drain.
+func checkNoneAfter(t *testing.T, s *platformtest.ModelServer, told time.Time, grace time.Duration) {
+	t.Helper()
+	for _, frame := range s.Received() {
+		if late := frame.At.Sub(told) - grace - drainSlack; late > 0 {
+			t.Errorf("a frame of code %d begins %v after the grace", frame.Code, late.Round(time.Millisecond))
+		}
+	}
+}
+
+// TestStoppedRouterKeepsDrain guards against choices from a list that grew old while the process was stopped: one server
+// drains meanwhile, and requests that wait in the router's sockets must not be sent there after the grace.
+func TestStoppedRouterKeepsDrain(t *testing.T) {
+	const functions = 12 // some of them have their copy on the server that drains
+	for _, c := range []struct {
+		stopped time.Duration
+		busy    bool
+	}{
+		{300 * time.Millisecond, false}, {600 * time.Millisecond, false}, {1600 * time.Millisecond, false}, {5 * time.Second, false},
+		{300 * time.Millisecond, true}, {600 * time.Millisecond, true}, {1600 * time.Millisecond, true}, {5 * time.Second, true},
+	} {
+		t.Run(fmt.Sprintf("%v busy=%t", c.stopped, c.busy), func(t *testing.T) {
+			t.Parallel()
+			drains, stays := platformtest.NewModelServer(t), platformtest.NewModelServer(t)
+			events := []board.Event{platformtest.Event(1, "s-0", drains.Address(), "ready"), platformtest.Event(2, "s-1", stays.Address(), "ready")}
+			plane := platformtest.NewBoard(t, "127.0.0.1:0", nil, events...)
+			router := startRouter(t, platformtest.Configuration(plane.Address(), drainGrace, events...))
+			client := router.waitWell()
+			ref := uint64(0)
+			callAll := func(client *platformtest.Client) {
+				for f := range uint64(functions) {
+					ref++
+					client.Call(ref, 0x7f3a9c21e0b4d600+f)
+				}
+			}
+			answerAll := func(client *platformtest.Client) {
+				for range functions {
+					if !client.Answer() {
+						t.Error("a request was not served")
+					}
+				}
+			}
+			awaitAll := func(client *platformtest.Client) { // those that the stop has cost all their slack may be refused
+				for range functions {
+					client.Answer()
+				}
+			}
+			callAll(client)
+			answerAll(client)
+			if len(drains.Received()) == 0 {
+				t.Fatal("the server that is to drain was never used")
+			}
+			others := []*platformtest.Client{client, platformtest.Dial(t, router.address), platformtest.Dial(t, router.address)}
+			if c.busy { // what is under way when the process stops
+				callAll(others[1])
+			}
+			router.stop()
+			told := plane.Tell(platformtest.Event(3, "s-0", drains.Address(), "draining"))
+			callAll(others[0])
+			callAll(others[2])
+			time.Sleep(c.stopped)
+			router.goOn()
+			answerAll(others[0])
+			answerAll(others[2])
+			if c.busy {
+				awaitAll(others[1])
+			}
+			callAll(client) // and what comes afterwards
+			answerAll(client)
+			checkNoneAfter(t, drains, told, drainGrace)
+		})
+	}
+}
+
+// TestAnswerDuringStopIsTaken guards against giving up an execution whose answer came while the process was stopped.
+func TestAnswerDuringStopIsTaken(t *testing.T) {
+	server := platformtest.NewModelServer(t)
+	events := []board.Event{platformtest.Event(1, "s-0", server.Address(), "ready")}
+	plane := platformtest.NewBoard(t, "127.0.0.1:0", nil, events...)
+	router := startRouter(t, platformtest.Configuration(plane.Address(), drainGrace, events...))
+	client := router.waitWell()
+	client.Call(1, 1) // its copy stands from now on
+	if !client.Answer() {
+		t.Fatal("a request was not served")
+	}
+	server.Hold()
+	client.Call(2, 1)
+	for len(server.Received()) < 2 {
+		time.Sleep(time.Millisecond)
+	}
+	router.stop()
+	server.Release()
+	time.Sleep(1600 * time.Millisecond) // beyond the time that such an execution is given
+	router.goOn()
+	if !client.Answer() {
+		t.Error("a request was not served")
+	}
+	if n := len(server.Received()); n != 2 {
+		t.Errorf("%d executions for 2 requests", n)
+	}
+}
--- a/internal/attempt/attempt.go
+++ b/internal/attempt/attempt.go
@@ -23,10 +23,10 @@
 // Withdraw takes back what is not being written yet; ok is false where it is too late for that, or done.
 func (s Stage) Withdraw() (next Stage, ok bool) { return Withdrawn, s == Chosen }
 
-// Write begins to write, unless it was taken back, or its choice has grown too old: a list may have changed since it was made.
-// Kept tells that the journal holds what must be known of it before.
-func (s Stage) Write(kept bool, age, fresh control.Micros) (next Stage, ok bool) {
-	return Writing, s == Chosen && kept && age <= fresh
+// Write begins to write, unless it was taken back, or the list that its choice rests on has grown too old (WriteUntil): what was
+// told since may forbid it. Kept tells that the journal holds what must be known of it before.
+func (s Stage) Write(kept bool, now, until control.Micros) (next Stage, ok bool) {
+	return Writing, s == Chosen && kept && now <= until
 }
 
 // Step takes a step of a stage that a turn and a connection share; no tells that it could not be taken.
@@ -40,8 +40,8 @@
 	}
 }
 
-// KeepWait is how long a chosen sending may wait for the journal: as long as its choice is fresh, and its time is not up.
-func KeepWait(age, fresh, left control.Micros) control.Micros { return max(0, min(fresh-age, left)) }
+// KeepWait is how long a chosen sending may wait for the journal: as long as its list is fresh, and its time is not up.
+func KeepWait(now, until, left control.Micros) control.Micros { return max(0, min(until-now, left)) }
 
 // Sending is the turn's own part of one execution or order on its way.
 type Sending struct {
@@ -184,13 +184,6 @@
 // Closed counts one that was idle and is closed.
 func (c *Connections) Closed() { c.Idle--; c.All-- }
 
-// Stood tells whether a router that wakes this late must look at the list again before it chooses: what it knows may be older than
-// the grace by the time a choice is written. A quarter of the grace leaves the rest for the way.
-func Stood(late, grace control.Micros) bool { return late > grace/4 }
-
-// Fresh is how old a choice may be when it is written: it was made from a list that is at most another part of the grace old.
-func Fresh(grace control.Micros) control.Micros { return grace / 2 }
-
 // FreshRepeat is that of a fingerprinted job's further execution: half of what the module allows for the way there
 // (control.mayRepeat), so that the group still remembers the earlier one.
 const FreshRepeat = control.Micros(25_000)
--- a/internal/board/board_test.go
+++ b/internal/board/board_test.go
@@ -72,11 +72,14 @@
 	return l.Addr().String(), conns, asked
 }
 
+// testGrace is that of a usual deployment.
+const testGrace = 500 * time.Millisecond
+
 // follow starts a follower that ends with the test.
 func follow(t *testing.T, address string) (*Follower, chan []fleet.Entry) {
 	t.Helper()
 	told := make(chan []fleet.Entry, 8)
-	f := NewFollower(State{}, address, 1, func(list []fleet.Entry) { told <- list }, func(string, error) {})
+	f := NewFollower(State{}, address, testGrace, 1, func(list []fleet.Entry) { told <- list }, func(string, error) {})
 	ctx, stop := context.WithCancel(context.Background())
 	ended := make(chan struct{})
 	go func() { f.Follow(ctx); close(ended) }()
@@ -129,7 +132,7 @@
 	fmt.Fprintln(c, event(1, true, "a", "10.0.0.1:1", "ready"))
 	next(t, "the first list", told)
 	other, conns, asked := plane(t)
-	f.Turn(other, Known{})
+	f.Turn(other)
 	c = next(t, "a connection elsewhere", conns)
 	if line := next(t, "a question elsewhere", asked); line != "watch 1\n" {
 		t.Errorf("asked %q", line)
--- a/internal/board/follow.go
+++ b/internal/board/follow.go
@@ -1,11 +1,10 @@
 package board
 
 import (
-	"bufio"
 	"context"
 	"errors"
-	"fmt"
 	"net"
+	"os"
 	"sync"
 	"time"
 
@@ -13,32 +12,49 @@
 	"hollymast/internal/fleet"
 )
 
-// Follower keeps a State level with a board.
+// Follower keeps a State level with a board. Its goroutine (Follow) dials and waits; what has come is read by it or by
+// whoever needs the list now (CatchUp), under one lock.
 type Follower struct {
-	state   State
-	told    func([]fleet.Entry)
-	note    func(text string, err error)
-	mu      sync.Mutex
-	address string
-	known   *Known // of a new configuration, not yet taken in
-	conn    net.Conn
-	turned  chan struct{} // holds one: the address changed
-	pause   *backoff.Backoff
+	grace  time.Duration // within which a change of the list must be heeded
+	told   func([]fleet.Entry)
+	note   func(text string, err error)
+	turned chan struct{} // holds one: the address changed
+	pause  *backoff.Backoff
+
+	startOnce sync.Once
+	started   chan struct{}
+	mu        sync.Mutex
+	address   string
+	state     State
+	watch     *watch // nil: none stands
 }
 
-// NewFollower follows from a state on. Told hears each new list, Note what went wrong.
-func NewFollower(state State, address string, seed uint64, told func([]fleet.Entry), note func(string, error)) *Follower {
-	return &Follower{state: state, address: address, told: told, note: note, turned: make(chan struct{}, 1),
-		pause: backoff.New(seed, pauseFirst, pauseMost)}
+// NewFollower follows from a state on. Told hears each new list, Note what went wrong. Told is called with a lock held: it may
+// not wait.
+func NewFollower(state State, address string, grace time.Duration, seed uint64, told func([]fleet.Entry),
+	note func(string, error)) *Follower {
+	return &Follower{state: state, address: address, grace: grace, told: told, note: note, turned: make(chan struct{}, 1),
+		started: make(chan struct{}), pause: backoff.New(seed, pauseFirst, pauseMost)}
 }
 
-// Turn has the follower go on at another address, and take in what a new configuration knows.
-func (f *Follower) Turn(address string, known Known) {
+const (
+	// silence is how long nothing may be heard. A line comes each second: one and a half without leaves time to ask again well
+	// within the 4 s after which all counts as told.
+	silence = 1500 * time.Millisecond
+	// dialTime bounds connecting, a few round trips, well within the 2 s after a break.
+	dialTime = 500 * time.Millisecond
+	// pauseFirst and pauseMost are the waits between two failed tries, doubled each time: with a dial that hangs the longest
+	// stays within the 2 s after a break.
+	pauseFirst, pauseMost = 20 * time.Millisecond, time.Second
+)
+
+// Turn has the follower go on at another address. The old connection is read until the new one stands.
+func (f *Follower) Turn(address string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.address, f.known = address, &known
-	if f.conn != nil {
-		f.conn.Close()
+	f.address = address
+	if f.watch != nil {
+		f.watch.conn.SetReadDeadline(time.Now()) // wakes Follow
 	}
 	select {
 	case f.turned <- struct{}{}:
@@ -46,36 +62,46 @@
 	}
 }
 
-const (
-	// A line comes each second: one and a half without is silence, and leaves time to ask again well within the 4 s after
-	// which all counts as told.
-	silence = 1500 * time.Millisecond
-	// Connecting is a few round trips. Bounded well within the 2 s after a break.
-	dialTime = 500 * time.Millisecond
-	// Between two failed tries, doubled each time: with a dial that hangs the longest stays within the 2 s after a break.
-	pauseFirst, pauseMost = 20 * time.Millisecond, time.Second
-	// An event with some thousand servers. A longer line is no event.
-	maxLine = 4 << 20
-)
+// CatchUp reads all that the board has told this router so far and gives the time as of which the list is complete. While no
+// connection stands, the list is as complete as it can be: that is now.
+func (f *Follower) CatchUp() (asOf time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if w := f.watch; w != nil {
+		if w.readAll(f) == nil {
+			return w.complete
+		}
+		f.drop(w)
+	}
+	return time.Now()
+}
+
+// Started is closed once the list can be relied on after a start: the board has answered, or had its time to, or can't be
+// reached.
+func (f *Follower) Started() <-chan struct{} { return f.started }
+
+func (f *Follower) start() { f.startOnce.Do(func() { close(f.started) }) }
 
 // Follow runs until the context ends.
 func (f *Follower) Follow(ctx context.Context) {
-	stop := context.AfterFunc(ctx, func() {
-		f.mu.Lock()
-		defer f.mu.Unlock()
-		if f.conn != nil {
-			f.conn.Close()
-		}
-	})
-	defer stop()
+	defer f.close()
 	for ctx.Err() == nil {
-		before, began := f.state.Last(), time.Now()
-		err := f.listen(ctx)
+		before, began := f.Last(), time.Now()
+		w, err := f.ask(ctx)
+		if err == nil {
+			err = f.listen(ctx, w)
+		}
 		if ctx.Err() != nil {
 			return
 		}
+		f.start()
 		f.note("asking the notice board again", err)
-		if f.state.Last() > before || time.Since(began) >= silence { // it was worth asking
+		if errors.Is(err, errTurned) {
+			f.pause.Well()
+			f.turnTaken()
+			continue
+		}
+		if f.Last() > before || time.Since(began) >= silence { // it was worth asking
 			f.pause.Well()
 		}
 		select {
@@ -87,63 +113,155 @@
 	}
 }
 
-// listen asks once, and hears until the board breaks off, falls silent or leaves something out.
-func (f *Follower) listen(ctx context.Context) error {
+// Last is the number of the last event that was taken in.
+func (f *Follower) Last() uint64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.state.Last()
+}
+
+// ask dials and asks for all that is new. The watch that stood before is read to its end first and then closed.
+func (f *Follower) ask(ctx context.Context) (*watch, error) {
 	f.mu.Lock()
-	address, known := f.address, f.known
-	f.known = nil
+	address := f.address
 	f.mu.Unlock()
-	if known != nil {
-		last := f.state.Last()
-		if err := f.state.Known(*known); err != nil {
-			f.note("what the configuration knows of the notice board", err)
-		} else if f.state.Last() > last {
-			f.told(f.state.List())
-		}
-	}
 	dialer := net.Dialer{Timeout: dialTime}
 	conn, err := dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
-		return err
+		return nil, err
 	}
-	defer conn.Close()
 	f.mu.Lock()
-	f.conn = conn
-	turned := f.address != address
-	f.mu.Unlock()
-	if turned || ctx.Err() != nil {
-		return errors.New("turned to another address")
+	defer f.mu.Unlock()
+	if f.address != address {
+		conn.Close()
+		return nil, errTurned
 	}
-	conn.SetDeadline(time.Now().Add(silence))
-	if _, err := fmt.Fprintf(conn, "watch %d\n", f.state.Last()); err != nil {
-		return err
+	if f.watch != nil {
+		f.watch.readAll(f)
+		f.drop(f.watch)
+	}
+	w, err := newWatch(conn, address, f.state.Last())
+	if err != nil {
+		conn.Close()
+		return nil, err
 	}
 	f.state.Asked()
-	in := bufio.NewReaderSize(conn, 8<<10)
-	var line []byte
+	f.watch = w
+	return w, nil
+}
+
+// listen has a watch read until it breaks off, falls silent, leaves something out, or is to be elsewhere.
+func (f *Follower) listen(ctx context.Context, w *watch) error {
+	unblock := context.AfterFunc(ctx, func() {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		w.conn.SetReadDeadline(time.Now())
+	})
+	defer unblock()
+	answerTime := time.AfterFunc(f.grace/4, f.start) // a board with nothing new says so at its next heartbeat only
+	defer answerTime.Stop()
 	for {
-		part, err := in.ReadSlice('\n')
-		line = append(line, part...)
-		if len(line) > maxLine {
-			return errors.New("a line without an end")
+		err := w.wait(func(fd uintptr) error { return f.readReady(ctx, w, fd) })
+		if errors.Is(err, os.ErrDeadlineExceeded) {
+			err = f.lookAgain(ctx, w)
 		}
-		if errors.Is(err, bufio.ErrBufferFull) {
-			continue
-		}
-		if err != nil {
-			return err // what came of a line is not taken in
+		if errors.Is(err, errTurned) {
+			return err
 		}
-		meaning, err := f.state.Line(line)
 		if err != nil {
+			f.leave(w)
 			return err
 		}
-		line = line[:0]
-		switch meaning {
-		case Changed:
-			f.told(f.state.List())
-		case AskAgain:
-			return errors.New("an event is missing")
-		}
-		conn.SetReadDeadline(time.Now().Add(silence))
+	}
+}
+
+// readReady reads what has come, and has the watch waited for until silence has lasted.
+func (f *Follower) readReady(ctx context.Context, w *watch, fd uintptr) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if err := f.unwanted(ctx, w); err != nil {
+		return err
+	}
+	if err := w.end(w.drain(fd, f)); err != nil {
+		return err
+	}
+	w.conn.SetReadDeadline(w.heard.Add(silence))
+	return nil
+}
+
+// unwanted tells why a watch is no longer to be listened to. The lock is held.
+func (f *Follower) unwanted(ctx context.Context, w *watch) error {
+	if ctx.Err() != nil {
+		return ctx.Err()
+	}
+	if f.address != w.address {
+		return errTurned
+	}
+	return nil
+}
+
+// turnTaken forgets that the address has changed: it is being asked.
+func (f *Follower) turnTaken() {
+	select {
+	case <-f.turned:
+	default:
+	}
+}
+
+// lookAgain reads once more after the deadline of a watch has passed. Guards against a deadline that passed while this process
+// was stopped: what came meanwhile is read before it counts.
+func (f *Follower) lookAgain(ctx context.Context, w *watch) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if err := f.unwanted(ctx, w); err != nil {
+		return err
+	}
+	if err := w.readAll(f); err != nil {
+		return err
+	}
+	if time.Since(w.heard) >= silence {
+		return errSilent
+	}
+	w.conn.SetReadDeadline(w.heard.Add(silence))
+	return nil
+}
+
+// line takes in a line. The lock is held.
+func (f *Follower) line(line []byte) error {
+	meaning, err := f.state.Line(line)
+	if err != nil {
+		return err
+	}
+	f.start()
+	switch meaning {
+	case Changed:
+		f.told(f.state.List())
+	case AskAgain:
+		return errMissing
+	}
+	return nil
+}
+
+// leave closes a watch that has ended.
+func (f *Follower) leave(w *watch) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.drop(w)
+}
+
+// drop closes a watch. The lock is held.
+func (f *Follower) drop(w *watch) {
+	w.end(net.ErrClosed)
+	w.conn.Close()
+	if f.watch == w {
+		f.watch = nil
+	}
+}
+
+func (f *Follower) close() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.watch != nil {
+		f.drop(f.watch)
 	}
 }
--- /dev/null
+++ b/internal/board/follow_test.go
@@ -0,0 +1,148 @@
+package board
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"syscall"
+	"testing"
+	"time"
+
+	"hollymast/control"
+	"hollymast/internal/fleet"
+)
+
+// asking is a follower whose goroutine never runs: the test takes its steps.
+type asking struct {
+	*Follower
+	told chan []fleet.Entry
+}
+
+func newAsking(address string) asking {
+	told := make(chan []fleet.Entry, 8)
+	return asking{NewFollower(State{}, address, testGrace, 1, func(list []fleet.Entry) { told <- list }, func(string, error) {}), told}
+}
+
+// asked asks, and gives the board's end of the connection.
+func (a asking) asked(t *testing.T, conns chan net.Conn, questions chan string) (*watch, net.Conn) {
+	t.Helper()
+	w, err := a.ask(context.Background())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(a.close)
+	next(t, "a question", questions)
+	return w, next(t, "a connection", conns)
+}
+
+// arrived waits until something can be read from a watch, and reads nothing.
+func (w *watch) arrived(t *testing.T) {
+	t.Helper()
+	for range 4000 {
+		var n int
+		w.raw.Control(func(fd uintptr) {
+			n, _, _ = syscall.Recvfrom(int(fd), make([]byte, 1), syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		})
+		if n > 0 {
+			return
+		}
+		time.Sleep(time.Millisecond)
+	}
+	t.Fatal("nothing came within 4 s")
+}
+
+// What the board has told is read by whoever needs the list, whether the follower's goroutine has had its turn or not.
+func TestCatchUpReadsWhatCame(t *testing.T) {
+	address, conns, questions := plane(t)
+	a := newAsking(address)
+	w, c := a.asked(t, conns, questions)
+	fmt.Fprintln(c, event(1, true, "a", "10.0.0.1:1", "ready"))
+	fmt.Fprintln(c, event(2, false, "a", "10.0.0.1:1", "draining"))
+	w.arrived(t)
+	before := time.Now()
+	for a.Last() < 2 { // the second may come after the first
+		if asOf := a.CatchUp(); asOf.Before(before) {
+			t.Fatalf("the list is as of %v before the look", before.Sub(asOf))
+		}
+	}
+	next(t, "the first list", a.told)
+	if list := next(t, "the second list", a.told); len(list) != 1 || list[0].State != control.Draining {
+		t.Errorf("got %v", list)
+	}
+}
+
+// A deadline that passed while the process was stopped does not hide what came meanwhile, nor end the connection.
+func TestDeadlineCrossesAnEvent(t *testing.T) {
+	address, conns, questions := plane(t)
+	a := newAsking(address)
+	w, c := a.asked(t, conns, questions)
+	fmt.Fprintln(c, event(1, true, "a", "10.0.0.1:1", "ready"))
+	w.arrived(t)
+	w.conn.SetReadDeadline(time.Now().Add(-time.Second))
+	ctx, stop := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- a.listen(ctx, w) }()
+	next(t, "the list", a.told)
+	fmt.Fprintln(c, event(2, false, "b", "10.0.0.2:1", "ready"))
+	next(t, "a list on the same connection", a.told)
+	stop()
+	<-ended
+}
+
+// What the old address has told is taken in before its connection is closed for the new one.
+func TestTurnCrossesAnEvent(t *testing.T) {
+	address, conns, questions := plane(t)
+	a := newAsking(address)
+	w, c := a.asked(t, conns, questions)
+	other, otherConns, otherQuestions := plane(t)
+	a.Turn(other)
+	fmt.Fprintln(c, event(1, true, "a", "10.0.0.1:1", "draining"))
+	w.arrived(t)
+	if _, err := a.ask(context.Background()); err != nil {
+		t.Fatal(err)
+	}
+	next(t, "the list", a.told)
+	next(t, "a connection elsewhere", otherConns)
+	if line := next(t, "a question elsewhere", otherQuestions); line != "watch 1\n" {
+		t.Errorf("asked %q", line)
+	}
+}
+
+// While the new address can't be reached the old connection goes on being read.
+func TestTurnToAnAddressThatRefuses(t *testing.T) {
+	address, conns, questions := plane(t)
+	a := newAsking(address)
+	w, c := a.asked(t, conns, questions)
+	a.Turn("127.0.0.1:1")
+	if _, err := a.ask(context.Background()); err == nil {
+		t.Fatal("somebody listens on port 1")
+	}
+	fmt.Fprintln(c, event(1, true, "a", "10.0.0.1:1", "draining"))
+	w.arrived(t)
+	a.CatchUp()
+	next(t, "the list", a.told)
+}
+
+// A start does not wait for a board that can't be reached.
+func TestStartedWithoutABoard(t *testing.T) {
+	f, _ := follow(t, "127.0.0.1:1")
+	next(t, "the start", f.Started())
+}
+
+// A start can be relied on once the board's answer to the first question was taken in.
+func TestStartedWithTheAnswer(t *testing.T) {
+	address, conns, questions := plane(t)
+	a := newAsking(address)
+	a.grace = time.Hour
+	w, c := a.asked(t, conns, questions)
+	select {
+	case <-a.Started():
+		t.Fatal("started before the answer")
+	default:
+	}
+	fmt.Fprintln(c, event(1, true, "a", "10.0.0.1:1", "ready"))
+	w.arrived(t)
+	a.CatchUp()
+	next(t, "the start", a.Started())
+	next(t, "the list", a.told)
+}
--- a/internal/explore/explore_test.go
+++ b/internal/explore/explore_test.go
@@ -44,7 +44,7 @@
 			s.Effects[0], s.Scope, s.Servers, s.Breaks, s.Restarts = "fingerprinted", "zone", 2, 2, 1
 		}), 9771},
 		"a client goes":    {world(func(s *Setup) { s.Effects[0], s.Leaves, s.Stalls, s.Breaks = "run-once", 1, 1, 1 }), 817},
-		"a router freezes": {world(func(s *Setup) { s.Freezes, s.Drains, s.Servers, s.Breaks = 1, 1, 2, 1 }), 19576},
+		"a router freezes": {world(func(s *Setup) { s.Freezes, s.Drains, s.Servers, s.Breaks = 1, 1, 2, 1 }), 24194},
 		"two jobs":         {world(func(s *Setup) { s.Jobs, s.Breaks, s.Leaves, s.Effects = 2, 1, 1, []string{"run-once", "restartable"} }), 9991},
 		"orders":           {world(func(s *Setup) { s.Orders, s.Warm, s.Breaks, s.Leaves = true, false, 1, 1 }), 12196},
 		"a cold server":    {world(func(s *Setup) { s.ColdServer, s.Warm, s.Jobs, s.Routers, s.Servers = true, false, 2, 2, 2 }), 517},
@@ -164,6 +164,12 @@
 		"old choices are written": {world(func(s *Setup) { s.Freezes, s.Drains, s.Servers, s.Limit, s.Target = 1, 1, 2, 1_500_000, 1_200_000 }), with(func(r *Rules) {
 			r.Write = func(s attempt.Stage, _ bool, _, _ control.Micros) (attempt.Stage, bool) { return attempt.Writing, true }
 		}), "drained"},
+		"a list's age counted from the choice": {world(func(s *Setup) {
+			s.Freezes, s.Drains, s.Servers, s.Jobs, s.Apart, s.Limit = 1, 1, 2, 2, 700_000, 600_000
+		}), with(func(r *Rules) {
+			r.CatchUp = func(_, _ control.Micros) bool { return false }
+			r.Until = func(_, chosen, grace control.Micros) control.Micros { return attempt.WriteUntil(chosen, grace) }
+		}), "drained"},
 		"deaf to drains": {world(func(s *Setup) { s.Drains, s.Jobs, s.Apart, s.Limit = 1, 2, 600_000, 400_000 }), with(func(r *Rules) {
 			r.Decide = func(m *control.Router) core.Decider { return deaf{m} }
 		}), "drained"},
--- a/internal/explore/steps.go
+++ b/internal/explore/steps.go
@@ -42,7 +42,7 @@
 	must := false // happen before time goes on
 	for i, j := range w.Jobs {
 		r := i % s.Routers
-		if w.Routers[r].Waking || j.Still {
+		if j.Still {
 			continue
 		}
 		switch {
@@ -69,11 +69,10 @@
 				}
 			}
 			must = must || !e.Stalled && w.Left.Stalls == 0
-			if w.Now >= e.Deadline && !w.Routers[e.Router].Waking { // no connection came about in its time
+			if w.Now >= e.Deadline { // no connection came about in its time
 				add(TimeOut, i, 0)
 				must = true
 			}
-		case w.Routers[e.Router].Waking:
 		case e.Stage == attempt.Withdrawn:
 			add(News, i, 0)
 			must = true
@@ -91,7 +90,7 @@
 		}
 	}
 	for i, n := range w.Notices {
-		if r := w.Routers[n.Router]; !r.Frozen && !r.Waking && !slices.ContainsFunc(w.Notices[:i], func(m Notice) bool { return m.Router == n.Router }) {
+		if r := w.Routers[n.Router]; !r.Frozen && !slices.ContainsFunc(w.Notices[:i], func(m Notice) bool { return m.Router == n.Router }) {
 			add(Tell, i, 0) // a list's changes come in order
 			must = must || w.Now >= n.Sent+listWay
 		}
@@ -100,11 +99,11 @@
 		switch {
 		case r.Frozen:
 			add(Wake, i, 0)
-		case w.Now >= r.Alarm || r.Waking:
+		case w.Now >= r.Alarm:
 			add(Turn, i, 0)
 			must = true
 		}
-		if !r.Frozen && !r.Waking && w.Left.Freezes > 0 {
+		if !r.Frozen && w.Left.Freezes > 0 {
 			add(Freeze, i, 0)
 		}
 	}
@@ -178,8 +177,12 @@
 }
 
 func (o *outlet) exchange(job, no int, to control.ServerID, allow control.Micros) *Exchange {
+	asOf := o.w.Now
+	if late := o.w.Routers[o.router].AsOf; late > 0 {
+		asOf = late
+	}
 	o.w.Exchanges = append(o.w.Exchanges, Exchange{Job: job, No: no, Router: o.router, Server: o.setup.index(to), Chosen: o.w.Now,
-		Fresh: o.rules.Fresh(grace), Deadline: o.w.Now + allow})
+		Until: o.rules.Until(asOf, o.w.Now, grace), Deadline: o.w.Now + allow})
 	return &o.w.Exchanges[len(o.w.Exchanges)-1]
 }
 
@@ -189,7 +192,7 @@
 func (o *outlet) Send(j *control.Job, no control.ExecutionID, to control.ServerID, allow control.Micros) {
 	e := o.exchange(o.setup.jobIndex(j.ID), int(no), to, allow)
 	if no > 0 && o.setup.effect(e.Job) == control.Fingerprinted {
-		e.Fresh = min(e.Fresh, attempt.FreshRepeat)
+		e.Until = min(e.Until, e.Chosen+attempt.FreshRepeat)
 	}
 	o.w.Jobs[e.Job].State.Sent()
 }
@@ -278,14 +281,17 @@
 	case Freeze:
 		w.Left.Freezes--
 		w.Wrong++
-		w.Routers[of].Frozen = true
+		r := &w.Routers[of]
+		if r.Frozen = true; r.AsOf == 0 {
+			r.AsOf = w.Now
+		}
 		for i := range w.Jobs {
 			if i%s.Routers == of && !w.Jobs[i].State.Given {
 				w.Jobs[i].Excused = true
 			}
 		}
 	case Wake:
-		w.Routers[of].Frozen, w.Routers[of].Waking = false, true
+		w.Routers[of].Frozen = false
 	default:
 		return w, w.ask(s, rules, step)
 	}
@@ -313,7 +319,7 @@
 		e.Stage, e.Written = attempt.Writing, 0
 		return
 	}
-	next, ok := rules.Write(e.Stage, true, w.Now-e.Chosen, e.Fresh)
+	next, ok := rules.Write(e.Stage, true, w.Now, e.Until)
 	if !ok {
 		e.Stage = attempt.Withdrawn
 		return
@@ -365,6 +371,9 @@
 	if rules.Decide != nil {
 		c.Wrap(rules.Decide)
 	}
+	if step.Kind != Tell {
+		w.catchUp(s, rules, c, router)
+	}
 	switch step.Kind {
 	case Arrive:
 		j := &w.Jobs[of]
@@ -381,18 +390,7 @@
 		w.ended(c, out, of, step)
 	case Tell:
 		w.heard(s, rules, c, of)
-	case Turn:
-		waking := w.Routers[of].Waking
-		w.Routers[of].Waking = false
-		if waking && rules.Stood(w.Now-w.Routers[of].Alarm, grace) { // the list is looked at before anything is chosen
-			for i := 0; i < len(w.Notices); {
-				if w.Notices[i].Router == of {
-					w.heard(s, rules, c, i)
-				} else {
-					i++
-				}
-			}
-		}
+	case Turn: // nothing but the alarm
 	}
 	if err != nil {
 		return err
@@ -401,6 +399,23 @@
 	return w.keep(router, c)
 }
 
+// catchUp has a router that stood still take in all changes of the list that were told meanwhile, before all else that it
+// hears.
+func (w *World) catchUp(s *Setup, rules *Rules, c *core.Core, router int) {
+	r := &w.Routers[router]
+	if r.AsOf == 0 || !rules.CatchUp(w.Now-r.AsOf, grace) {
+		return
+	}
+	r.AsOf = 0
+	for i := 0; i < len(w.Notices); {
+		if w.Notices[i].Router == router {
+			w.heard(s, rules, c, i)
+		} else {
+			i++
+		}
+	}
+}
+
 // heard passes a change of the list on, and withdraws what is on its way to a server that takes nothing new.
 func (w *World) heard(s *Setup, rules *Rules, c *core.Core, of int) {
 	n := w.Notices[of]
@@ -490,7 +505,7 @@
 	case TimeOut:
 		text = "the time of " + ex() + " is up"
 	case Turn:
-		if text = fmt.Sprintf("router %d takes the turn that its alarm asks for", of); w.Routers[of].Waking {
+		if text = fmt.Sprintf("router %d takes the turn that its alarm asks for", of); w.Routers[of].AsOf > 0 {
 			text = fmt.Sprintf("router %d takes its first turn since it stood still", of)
 		}
 	case Tell:
--- a/internal/explore/world.go
+++ b/internal/explore/world.go
@@ -122,7 +122,7 @@
 	digest [16]byte
 	Alarm  control.Micros
 	Frozen bool
-	Waking bool // its connections go on; its turn comes next
+	AsOf   control.Micros // as of when its list was complete when it last froze; 0: it has caught up since
 }
 
 // Server is one server as it really is.
@@ -155,7 +155,7 @@
 	Stage                   attempt.Stage
 	State                   attempt.Sending
 	Chosen, Written         control.Micros // 0: not yet
-	Fresh, Deadline         control.Micros
+	Until, Deadline         control.Micros
 	Way                     Way
 	Ran                     bool // truly
 	Began                   bool // a load
@@ -193,20 +193,21 @@
 // Rules are what decides in a world. Explorations of what is shipped use Real; tests plant others.
 type Rules struct {
 	Withdraw  func(attempt.Stage) (attempt.Stage, bool)
-	Write     func(s attempt.Stage, kept bool, age, fresh control.Micros) (attempt.Stage, bool)
+	Write     func(s attempt.Stage, kept bool, now, until control.Micros) (attempt.Stage, bool)
 	CallOff   func(*attempt.Sending) bool
 	Ended     func(*attempt.Answer, control.Result) attempt.Delivery
 	Give      func(*attempt.Answer) bool
 	Undialled func(s attempt.Stage, waited bool) control.Result
 	Broken    func(written bool, why attempt.Cut) control.Result
-	Stood     func(late, grace control.Micros) bool
-	Fresh     func(grace control.Micros) control.Micros
+	CatchUp   func(age, grace control.Micros) bool
+	Until     func(listAsOf, chosen, grace control.Micros) control.Micros
 	Decide    func(*control.Router) core.Decider // nil: the module itself
 }
 
 // Real are the rules that are shipped.
 var Real = Rules{Withdraw: attempt.Stage.Withdraw, Write: attempt.Stage.Write, CallOff: (*attempt.Sending).CallOff, Ended: (*attempt.Answer).Ended,
-	Give: (*attempt.Answer).Give, Undialled: attempt.Undialled, Broken: attempt.Broken, Stood: attempt.Stood, Fresh: attempt.Fresh}
+	Give: (*attempt.Answer).Give, Undialled: attempt.Undialled, Broken: attempt.Broken, CatchUp: attempt.MustCatchUp,
+	Until: func(listAsOf, _, grace control.Micros) control.Micros { return attempt.WriteUntil(listAsOf, grace) }}
 
 // Begin gives a setup's first world.
 func Begin(s *Setup, rules *Rules) (*World, error) {
--- /dev/null
+++ b/internal/gateway/drain_test.go
@@ -0,0 +1,83 @@
+package gateway
+
+import (
+	"testing"
+	"time"
+
+	"hollymast/control"
+	"hollymast/internal/audit"
+	"hollymast/internal/fleet"
+)
+
+// rarely has the list's file looked at only where a turn asks for it.
+func rarely(t *Told) { t.ListEvery = time.Hour }
+
+// A turn reads the list before it chooses, however long the next look would be off, and whether an alarm was missed or not.
+func TestTurnReadsTheListFirst(t *testing.T) {
+	f := newFieldChanged(t, "", rarely, usual(0), usual(1))
+	for i := range 2 {
+		if word := f.ask(string(rune('a'+i)), "forecast-1", time.Second); word != "finished" {
+			t.Fatalf("got %q", word)
+		}
+	}
+	used := 0
+	if f.received("a") > 0 && f.began("a", 1) > 0 {
+		used = 1
+	}
+	states := []string{"ready", "ready"}
+	states[used] = "draining"
+	f.write(states...)
+	told := f.g.now()
+	for f.g.now()-told < micros(f.g.told.Grace) { // the process may have been stopped meanwhile
+		time.Sleep(time.Millisecond)
+	}
+	f.ask("c", "forecast-1", time.Second)
+	if f.began("c", used) > 0 {
+		t.Error("it went to the server that drained a grace ago")
+	}
+}
+
+// A stop between the look at the list and the turn's choices makes these no younger than their list.
+func TestStopBetweenListAndChoice(t *testing.T) {
+	f := newField(t, usual(0))
+	s := make(chan *sending)
+	f.g.tell(func(now control.Micros) {
+		f.g.listAsOf = now - micros(f.g.told.Grace) // the process was stopped after the look
+		s <- f.g.sending(fleet.ID(f.servers[0].Address()), 1_000_000)
+	})
+	old := <-s
+	old.request = request("1", "forecast-1", time.Second)
+	if e := f.carried(old); e.result != control.NeverSent {
+		t.Errorf("got %v", e.result)
+	}
+	for _, r := range f.log.Records() {
+		if r.Kind == audit.Received {
+			t.Errorf("server got job %s", r.Job)
+		}
+	}
+}
+
+// A source of the list that gives no word holds turns up once, for a quarter of the grace, and the router serves on.
+func TestListThatGivesNoWord(t *testing.T) {
+	f := newFieldChanged(t, "", rarely, usual(0))
+	if word := f.ask("1", "forecast-1", time.Second); word != "finished" {
+		t.Fatalf("got %q", word)
+	}
+	looking := make(chan bool)
+	f.g.tell(func(control.Micros) {
+		f.g.looking = make(chan struct{}) // it never ends
+		f.g.listAsOf = 0
+		close(looking)
+	})
+	<-looking
+	began := time.Now()
+	for i := range 5 {
+		if word := f.ask(string(rune('a'+i)), "forecast-1", time.Second); word != "finished" {
+			t.Errorf("got %q", word)
+		}
+		time.Sleep(f.g.told.Grace / 4)
+	}
+	if took := time.Since(began); took > 5*f.g.told.Grace {
+		t.Errorf("five jobs took %v", took)
+	}
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -54,6 +54,8 @@
 	keeper     *keeper                    // nil: nothing outlasts this run
 	between    []func(now control.Micros) // to be called after the turn
 	clock      control.Micros             // of the turn under way
+	listAsOf   control.Micros             // as of when the list that this turn chooses from was complete
+	looking    chan struct{}              // closed when the look that was asked for has ended; nil: none is awaited
 	recordings int
 	fleet      *fleet.Fleet
 	jobs       map[control.JobID]*job
@@ -72,7 +74,8 @@
 	ready      atomic.Bool  // a list was read, and we take jobs
 	stopNow    atomic.Bool
 	dials      chan struct{}
-	refresh    chan chan struct{}
+	refresh    chan chan struct{}       // holds one
+	lookNow    atomic.Bool              // the list is read before the next turn, however young it is
 	rings      map[string]*keyring.Ring // by kind of connections
 	serving    context.Context          // ends with the last turn
 	distrusted sync.Map                 // address of a worker to what was last said of its certificate
@@ -109,7 +112,7 @@
 	}
 	g := &Gateway{told: told, log: log, started: time.Now(), box: mailbox.New(),
 		jobs: map[control.JobID]*job{}, pools: map[control.ServerID]*pool{}, dials: make(chan struct{}, told.Dials),
-		refresh: make(chan chan struct{}), ended: make(chan struct{}), metrics: newMetrics(told)}
+		refresh: make(chan chan struct{}, 1), ended: make(chan struct{}), metrics: newMetrics(told)}
 	// Routers take turns at cold servers by their common time (control.coldRoom), so it begins at the wall clock; from
 	// then on it is monotonic, whatever is done to that clock.
 	g.epoch = control.Micros(g.started.UnixMicro())
@@ -250,13 +253,8 @@
 			done = nil
 			g.beginStop()
 		}
-		late := g.now() - g.due
-		if attempt.Stood(late, micros(g.told.Grace)) {
-			g.relook(late)
-			if g.storm != nil {
-				g.storm.Woke(g.now(), late)
-			}
-		}
+		g.noteStop(g.now() - g.due)
+		g.catchUp()
 		batch = g.box.Take(batch)
 		g.turn(g.now(), batch)
 		if g.stopping && len(g.jobs) == 0 {
@@ -270,21 +268,42 @@
 	return g.finish(stop)
 }
 
-// relook waits for a look at the list after a time in which this process stood still, so that no choice is made from
-// a list that is older than the grace. Bounded: a list that can't be had must not stop the router.
-func (g *Gateway) relook(late control.Micros) {
-	g.log.Warn().Int64("late_us", int64(late)).Msg("the router stood still")
-	const most = 50 * time.Millisecond // a look takes well under one
-	timer := time.NewTimer(most)
-	defer timer.Stop()
-	looked := make(chan struct{})
-	select {
-	case g.refresh <- looked:
-	case <-timer.C:
+// noteStop tells of a time in which this process was stopped.
+func (g *Gateway) noteStop(late control.Micros) {
+	if !attempt.Stopped(late, micros(g.told.Grace)) {
 		return
 	}
+	g.log.Warn().Int64("late_us", int64(late)).Msg("the router stood still")
+	if g.storm != nil {
+		g.storm.Woke(g.now(), late)
+	}
+}
+
+// catchUp has all that the list's source told taken in by the turn that comes next.
+func (g *Gateway) catchUp() {
+	asOf := g.now()
+	if g.lookNow.Swap(false) || attempt.MustCatchUp(asOf-g.listAsOf, micros(g.told.Grace)) {
+		g.look()
+		g.listAsOf = asOf
+	}
+}
+
+// look waits until the list's source was looked at. A source that gives no word for a quarter of the grace counts as one that
+// can't be reached: the router goes on with what it knows, and waits for no other look before that one has ended.
+func (g *Gateway) look() {
+	if g.looking != nil {
+		select {
+		case <-g.looking:
+		default:
+			return
+		}
+	}
+	g.looking = make(chan struct{})
+	g.refresh <- g.looking // has room: the look before has ended
+	timer := time.NewTimer(g.told.Grace / 4)
+	defer timer.Stop()
 	select {
-	case <-looked:
+	case <-g.looking:
 	case <-timer.C:
 	}
 }
@@ -310,10 +329,8 @@
 
 // Refresh has the list read again at once.
 func (g *Gateway) Refresh() {
-	select {
-	case g.refresh <- make(chan struct{}):
-	case <-g.ended:
-	}
+	g.lookNow.Store(true)
+	g.tell(func(control.Micros) {})
 }
 
 // lastAccepts is for how long a stopping router takes connections, to push back what they ask: several times what it takes
@@ -490,7 +507,7 @@
 	s := g.sending(to, allow)
 	s.job, s.no, s.request, s.round = j, no, g.execution(j, no, allow), g.enter(j.kept, to)
 	if no > 0 && g.told.Deployment.Workloads[j.workload].Effect == control.Fingerprinted {
-		s.fresh = min(s.fresh, span(attempt.FreshRepeat))
+		s.until = min(s.until, g.clock+attempt.FreshRepeat)
 	}
 	j.executions = append(j.executions, s)
 	j.state.Sent()
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -293,7 +293,7 @@
 	return l.carry(s)
 }
 
-// A drain notice between choosing and writing, and a choice that grew old while the process stood still.
+// A drain notice between choosing and writing, and a choice whose list grew old while the process was stopped.
 func TestWithdrawnAndOldChoicesAreNeverSent(t *testing.T) {
 	f := newField(t, usual(0))
 	s := f.g.sending(1, 1_000_000)
@@ -306,7 +306,7 @@
 	}
 	s = f.g.sending(1, 1_000_000)
 	s.request = request("2", "forecast-1", time.Second)
-	s.chosen = time.Now().Add(-f.g.told.Grace)
+	s.until -= micros(f.g.told.Grace)
 	if e := f.carried(s); e.result != control.NeverSent {
 		t.Errorf("old: got %v", e.result)
 	}
--- a/internal/gateway/keeper.go
+++ b/internal/gateway/keeper.go
@@ -225,12 +225,12 @@
 
 // kept waits until a sending is in the journal: a marked job on the disk itself, what counts for seconds with the kernel. A journal that fails keeps nobody waiting: that it does was said. False
 // tells that the sending was withdrawn meanwhile, or that the disk stood still.
-func (s *sending) kept() bool {
+func (s *sending) kept(now control.Micros) bool {
 	if s.round == nil {
 		return true
 	}
-	// A disk that stands still: then the choice is too old too, or the job's time is up.
-	wait := attempt.KeepWait(micros(time.Since(s.chosen)), micros(s.fresh), micros(time.Until(s.deadline)))
+	// A disk that stands still: then the list is too old too, or the job's time is up.
+	wait := attempt.KeepWait(now, s.until, micros(time.Until(s.deadline)))
 	timer := time.NewTimer(span(wait))
 	defer timer.Stop()
 	done := s.round.Written()
--- a/internal/gateway/workers.go
+++ b/internal/gateway/workers.go
@@ -42,9 +42,8 @@
 	order    control.Order
 	to       control.ServerID
 	request  *rest.Request
-	round    *memory.Round // of the journal, in which it must be before it is written; nil: none
-	chosen   time.Time
-	fresh    time.Duration // a choice older than this is not written
+	round    *memory.Round  // of the journal, in which it must be before it is written; nil: none
+	until    control.Micros // it is not written later
 	deadline time.Time
 	ctx      context.Context
 	cancel   context.CancelFunc
@@ -54,8 +53,7 @@
 }
 
 func (g *Gateway) sending(to control.ServerID, allow control.Micros) *sending {
-	s := &sending{to: to, chosen: time.Now(), fresh: span(attempt.Fresh(micros(g.told.Grace)))}
-	s.deadline = s.chosen.Add(time.Duration(allow) * time.Microsecond)
+	s := &sending{to: to, until: attempt.WriteUntil(g.listAsOf, micros(g.told.Grace)), deadline: time.Now().Add(span(allow))}
 	s.ctx, s.cancel = context.WithCancel(context.Background())
 	return s
 }
@@ -144,9 +142,9 @@
 		}
 		l.client.Store(c)
 	}
-	kept := s.kept()
+	kept := s.kept(l.g.now())
 	if !attempt.Step(&s.stage, func(st attempt.Stage) (attempt.Stage, bool) {
-		return st.Write(kept, micros(time.Since(s.chosen)), micros(s.fresh))
+		return st.Write(kept, l.g.now(), s.until)
 	}) {
 		return exchange{result: control.NeverSent}
 	}
--- a/internal/platform/crossing_test.go
+++ b/internal/platform/crossing_test.go
@@ -311,7 +311,13 @@
 // A configuration that is half written when its signal comes is read again, without another.
 func TestReloadCrossesTheWriting(t *testing.T) {
 	asked := make(chan bool, 8)
-	whole := configuration(listen(t, func(c net.Conn) { asked <- true; c.Read(make([]byte, 100)) }))
+	whole := configuration(listen(t, func(c net.Conn) {
+		select {
+		case asked <- true:
+		default: // it is asked again and again, since it says nothing
+		}
+		c.Read(make([]byte, 100))
+	}))
 	env := Environment{File: filepath.Join(t.TempDir(), "config.json")}
 	if err := os.WriteFile(env.File, []byte(whole[:len(whole)/2]), 0o600); err != nil {
 		t.Fatal(err)
--- a/internal/platform/drain_test.go
+++ b/internal/platform/drain_test.go
@@ -1,11 +1,21 @@
 package platform
 
 import (
+	"bytes"
+	"encoding/json"
 	"io"
 	"net"
 	"syscall"
 	"testing"
 	"time"
+
+	"github.com/rs/zerolog"
+
+	"hollymast/control"
+	"hollymast/internal/attempt"
+	"hollymast/internal/board"
+	"hollymast/internal/fleet"
+	"hollymast/internal/platformtest"
 )
 
 // begun tells whether its first byte would be written now.
@@ -18,6 +28,138 @@
 	return wrote
 }
 
+// startTold starts a router with a configuration, which need not be well at once.
+func startTold(t *testing.T, configuration string) *running {
+	t.Helper()
+	told, err := parseTold([]byte(configuration), Environment{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return serve(t, told)
+}
+
+// idlePlatform is a router that takes no turns of its own: the test takes them.
+func idlePlatform(t *testing.T) *Platform {
+	t.Helper()
+	told, err := parseTold([]byte(configuration("127.0.0.1:1")), Environment{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	p, err := New(told, zerolog.Nop())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { p.listener.Close() })
+	return p
+}
+
+// A stop between the look at the list and the turn's clock makes the choice no younger than its list: neither an execution nor
+// an order to load is written then.
+func TestStopBetweenListAndTurn(t *testing.T) {
+	p := idlePlatform(t)
+	p.catchUp()
+	p.turn(p.now(), nil)
+	fresh, order := p.sending(1, 1_000_000), p.sending(1, p.told.orderLimit)
+	if !fresh.begun() {
+		t.Error("not written from a list that is up to date")
+	}
+	time.Sleep(span(attempt.Fresh(p.told.grace)) + time.Millisecond) // the process is stopped
+	var late *sending
+	p.turn(p.now(), []func(control.Micros){func(control.Micros) { late = p.sending(1, 1_000_000) }})
+	if late.begun() || order.begun() {
+		t.Error("written from a list that is older than half the grace")
+	}
+	p.catchUp()
+	p.turn(p.now(), nil)
+	if again := p.sending(1, 1_000_000); !again.begun() {
+		t.Error("not written after the next look")
+	}
+}
+
+// A server that is not listed as ready is sent nothing, whatever was chosen.
+func TestNothingIsSentToAServerThatIsNotReady(t *testing.T) {
+	p := idlePlatform(t)
+	for _, state := range []control.ServerState{control.Draining, control.Gone} {
+		p.listed(p.now(), []fleet.Entry{{Name: "s-0", Address: "127.0.0.1:1", Zone: "east", State: state}})
+		s := p.sending(fleet.ID("s-0"), 1_000_000)
+		s.order.Server = s.to
+		p.dispatch(p.now(), s, []byte("frame"))
+		if s.link != nil || len(p.pools) > 0 {
+			t.Errorf("state %d: it has a connection", state)
+		}
+		s.timer.Stop()
+	}
+}
+
+// The log tells how late the latest first byte to a server was that drained, at most, and how old the oldest list.
+func TestLogTellsHowLateFirstBytesWere(t *testing.T) {
+	p := idlePlatform(t)
+	var line bytes.Buffer
+	p.log = zerolog.New(&line)
+	ready := []fleet.Entry{{Name: "s-0", Address: "127.0.0.1:1", Zone: "east", State: control.Ready}}
+	p.listed(p.now(), ready)
+	p.catchUp()
+	p.turn(p.now(), nil)
+	s := p.sending(fleet.ID("s-0"), 1_000_000)
+	s.link = &link{pool: p.poolOf(s.to)}
+	time.Sleep(2 * time.Millisecond)
+	if !s.begun() {
+		t.Fatal("not written")
+	}
+	ready[0].State = control.Draining
+	p.listBefore = p.listAsOf
+	p.listed(p.now(), ready)
+	p.tell()
+	var told struct {
+		List  int64 `json:"oldest_list_us"`
+		Drain int64 `json:"after_drain_us"`
+	}
+	if err := json.Unmarshal(line.Bytes(), &told); err != nil {
+		t.Fatal(err)
+	}
+	grace := int64(p.told.grace)
+	if told.List < 2000 || told.List > grace/2 || told.Drain < 2000 || told.Drain > grace/2 {
+		t.Errorf("%s", &line)
+	}
+}
+
+// A router that starts with a configuration that has grown old chooses nothing before the board has answered.
+func TestStartCrossesADrain(t *testing.T) {
+	const grace = 2 * time.Second // the answer has a quarter of it to come
+	drains, stays := platformtest.NewModelServer(t), platformtest.NewModelServer(t)
+	known := []board.Event{platformtest.Event(1, "s-0", drains.Address(), "ready")}
+	answer := make(chan bool)
+	plane := platformtest.NewBoard(t, "127.0.0.1:0", func(net.Conn, int) bool { <-answer; return false }, known...)
+	told := plane.Tell(platformtest.Event(2, "s-0", drains.Address(), "draining"))
+	plane.Tell(platformtest.Event(3, "s-1", stays.Address(), "ready"))
+	r := startTold(t, platformtest.Configuration(plane.Address(), grace, known...))
+	until(t, "the board is asked", func() bool { return len(plane.Asked()) == 1 })
+	client := platformtest.Dial(t, r.Address())
+	client.Call(1, 1)
+	until(t, "the request is read", func() bool {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		for c := range r.clients {
+			if idle, _ := c.idle(); !idle {
+				return true
+			}
+		}
+		return false
+	})
+	const turns = 20 * time.Millisecond // several
+	time.Sleep(turns)
+	if r.ready.Load() {
+		t.Error("the router is well before the board has answered")
+	}
+	close(answer)
+	if !client.Answer() {
+		t.Error("the request was not served")
+	}
+	if n := len(drains.Received()); n > 0 {
+		t.Errorf("%d frames went to the server that drained %v before", n, time.Since(told))
+	}
+}
+
 // Where the connection has no room for the first byte, the check comes again when it has.
 func TestFullConnectionCrossesTheGrace(t *testing.T) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
@@ -67,11 +209,18 @@
 			return true // the grace has passed
 		}
 	}, wrote: func(bool) { t.Error("it was written") }})
-	<-asked
+	ask := func() {
+		select {
+		case <-asked:
+		case <-time.After(4 * time.Second):
+			t.Fatal("the check does not come")
+		}
+	}
+	ask()
 	if n, err := io.ReadFull(theirs, make([]byte, filled)); err != nil {
 		t.Fatalf("read %d: %v", n, err)
 	}
-	<-asked
+	ask()
 	until(t, "it is withdrawn", o.drained)
 	theirs.SetReadDeadline(time.Now().Add(20 * time.Millisecond))
 	if n, _ := theirs.Read(make([]byte, 8)); n > 0 {
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -47,8 +47,11 @@
 	due      control.Micros // when the timer fires
 	pruned   control.Micros
 	clock    control.Micros // this turn's, or the last one's
-	stopTold control.Micros // to stop; 0: not
-	chance   *rand.PCG      // for the ids of orders; decides nothing
+	listAsOf control.Micros // as of when the list that this turn chooses from was complete
+	// listBefore is listAsOf of the turn before: a change that this turn takes in was told after that.
+	listBefore control.Micros
+	stopTold   control.Micros // to stop; 0: not
+	chance     *rand.PCG      // for the ids of orders; decides nothing
 
 	// Shared.
 	box      *mailbox.Box
@@ -59,6 +62,9 @@
 	mu       sync.Mutex
 	clients  map[*client]struct{}
 	counts   map[string]int // what was out of order since the last line about it
+	// What the log tells of the rule for drains, since the last line, in microseconds.
+	oldestList maximum // of the lists that first bytes rested on: their age
+	afterDrain maximum // the latest first byte to a server that drained or went: how much later than that, at most
 
 	mostClients, mostLinks int
 }
@@ -107,7 +113,7 @@
 	}
 	p.timer = time.NewTimer(time.Hour)
 	p.listed(p.epoch, state.List())
-	p.follower = board.NewFollower(state, told.Board, told.Seed, func(list []fleet.Entry) {
+	p.follower = board.NewFollower(state, told.Board, span(told.grace), told.Seed, func(list []fleet.Entry) {
 		p.box.Tell(func(now control.Micros) { p.listed(now, list) })
 	}, func(text string, err error) { p.log.Info().AnErr("why", err).Msg(text) })
 	l, err := net.Listen("tcp", told.Listen)
@@ -124,12 +130,15 @@
 // span is a time of the module's as the standard library has it.
 func span(t control.Micros) time.Duration { return time.Duration(t) * time.Microsecond }
 
-func (p *Platform) now() control.Micros {
-	return p.epoch + control.Micros(time.Since(p.started)/time.Microsecond)
+func (p *Platform) now() control.Micros { return p.at(time.Now()) }
+
+// at is a time of the standard library as the module has it.
+func (p *Platform) at(t time.Time) control.Micros {
+	return p.epoch + control.Micros(t.Sub(p.started)/time.Microsecond)
 }
 
 // Reload takes in a new configuration: where the notice board is. The rest needs a restart.
-func (p *Platform) Reload(told *Told) { p.follower.Turn(told.Board, told.Known) }
+func (p *Platform) Reload(told *Told) { p.follower.Turn(told.Board) }
 
 // Between two tries to read a configuration: first about as long as a file takes to be written, then less often, for one that
 // stays broken.
@@ -187,6 +196,11 @@
 		p.accept(p.listener)
 	})
 	defer p.listener.Close()
+	// What the configuration knows may be older than the grace: nothing is chosen from it before the board was asked.
+	select {
+	case <-p.follower.Started():
+	case <-ctx.Done():
+	}
 	p.ready.Store(true)
 	done, accepted, ending := ctx.Done(), p.accepted, false
 	var last <-chan time.Time
@@ -215,6 +229,7 @@
 			p.endClients()
 		}
 		p.pace()
+		p.catchUp()
 		batch = p.box.Take(batch)
 		p.turn(p.now(), batch)
 		if accepted == nil && p.served() {
@@ -233,14 +248,16 @@
 // a thousand a second with 150 held took a quarter of a core. It is a hundredth of the shortest start target.
 const apart = 3_000
 
+// answersRead is for how long the readers of connections run after this process was stopped before the turn that may find the
+// time of executions up: their answers may have come meanwhile. Reading what waits on some hundred connections takes less.
+const answersRead = 10 * time.Millisecond
+
 // pace keeps turns apart, so that what comes close together costs one.
 func (p *Platform) pace() {
 	now := p.now()
-	if attempt.Stood(now-p.due, p.told.grace) && p.due > 0 {
-		// This process stood still: what the board has told meanwhile is read first, so that no choice is made from a list
-		// that is older than the grace.
-		p.count("the router stood still")
-		time.Sleep(10 * time.Millisecond)
+	if p.due > 0 && attempt.Stopped(now-p.due, p.told.grace) {
+		p.count("the router was stopped")
+		time.Sleep(answersRead)
 		return
 	}
 	least := max(apart, p.told.Deployment.Tick)
@@ -249,6 +266,15 @@
 	}
 }
 
+// catchUp has all that the notice board told taken in by the turn that comes next. It comes after the last wait before the
+// turn's batch is taken: whenever this process was stopped, the turn's choices are no younger than their list.
+func (p *Platform) catchUp() {
+	p.listBefore = p.listAsOf
+	if attempt.MustCatchUp(p.now()-p.listAsOf, p.told.grace) {
+		p.listAsOf = p.at(p.follower.CatchUp())
+	}
+}
+
 func (p *Platform) turn(now control.Micros, heard []func(control.Micros)) {
 	p.clock = now
 	for _, f := range heard {
@@ -299,6 +325,7 @@
 	for id, pl := range p.pools {
 		s := p.fleet.Get(id)
 		if s == nil || s.State != control.Ready || s.Address != pl.address || control.Micros(s.Told.Born) != pl.born {
+			p.afterDrain.note(pl.firstByte.Load() - int64(p.listBefore))
 			p.unlist(now, pl)
 			if s != nil && s.State == control.Ready { // another life: other connections
 				delete(p.pools, id)
@@ -399,8 +426,8 @@
 }
 
 func (p *Platform) sending(to control.ServerID, allow control.Micros) *sending {
-	return &sending{p: p, to: to, chosen: p.clock, deadline: p.clock + allow,
-		until: p.clock + min(allow, attempt.Fresh(p.told.grace))}
+	return &sending{p: p, to: to, chosen: p.clock, deadline: p.clock + allow, listAsOf: p.listAsOf,
+		until: min(p.clock+allow, attempt.WriteUntil(p.listAsOf, p.told.grace))}
 }
 
 // PushBack and Kill end a job.
@@ -492,9 +519,25 @@
 	p.mu.Unlock()
 	slices.Sort(parts)
 	p.log.Info().Int("clients", clients).Int("server_connections", p.linked).Int("jobs", len(p.jobs)).Int("held", p.core.Held()).
+		Uint64("list", p.follower.Last()).Int64("oldest_list_us", p.oldestList.take()).Int64("after_drain_us", p.afterDrain.take()).
 		Str("out_of_order", strings.Join(parts, "; ")).Msg("state")
 }
 
+// maximum is the largest of some numbers that several goroutines note; none: 0.
+type maximum struct{ atomic.Int64 }
+
+func (m *maximum) note(n int64) {
+	for {
+		old := m.Load()
+		if n <= old || m.CompareAndSwap(old, n) {
+			return
+		}
+	}
+}
+
+// take gives it and begins anew.
+func (m *maximum) take() int64 { return m.Swap(0) }
+
 // traceChoices tells why jobs are turned away, where the log is told to.
 func (p *Platform) traceChoices() error {
 	if p.log.Trace() == nil {
@@ -538,6 +581,6 @@
 		e = e.Uint8("found", uint8(a.Found))
 	}
 	e.Str("id", fmt.Sprintf("%016x", uint64(s.id))).Bool("order", s.job == nil).Str("function", fmt.Sprintf("%016x", function)).
-		Str("server", p.fleet.Get(s.to).Address).Int64("chosen", int64(s.chosen)).Bool("whole", s.whole.Load()).
+		Str("server", s.address()).Int64("chosen", int64(s.chosen)).Bool("whole", s.whole.Load()).
 		Int64("answered", int64(now)).Uint8("result", uint8(result)).Msg("execution")
 }
--- a/internal/platform/platform_test.go
+++ b/internal/platform/platform_test.go
@@ -147,6 +147,14 @@
 		told.Known.Notices = append(told.Known.Notices, event(i+1, fmt.Sprintf("s-%d", i), address, "ready"))
 	}
 	told.Known.Rev = uint64(len(servers))
+	r := serve(t, told)
+	until(t, "the router is well, as clients wait for", r.ready.Load)
+	return r
+}
+
+// serve has a router serve until the test ends.
+func serve(t *testing.T, told *Told) *running {
+	t.Helper()
 	p, err := New(told, zerolog.Nop())
 	if err != nil {
 		t.Fatal(err)
--- a/internal/platform/servers.go
+++ b/internal/platform/servers.go
@@ -24,6 +24,8 @@
 	address string
 	born    control.Micros
 	links   []*link
+	// firstByte is when the latest first byte of an execution or order was written, the router's time.
+	firstByte maximum
 }
 
 // link is one connection to a server. The turn owns all but the outbox; a goroutine dials and reads.
@@ -56,6 +58,7 @@
 	to       control.ServerID
 	link     *link // nil: none was had
 	chosen   control.Micros
+	listAsOf control.Micros // as of when the list was complete that it was chosen from
 	until    control.Micros // it is not written later
 	deadline control.Micros
 	writing  sync.Mutex   // held from the last check to the first byte
@@ -71,6 +74,14 @@
 	return attempt.Step(&s.stage, attempt.Stage.Withdraw)
 }
 
+// address is where it goes; empty where no connection was to be had.
+func (s *sending) address() string {
+	if s.link == nil {
+		return ""
+	}
+	return s.link.pool.address
+}
+
 // reached is how far it has got.
 func (s *sending) reached() attempt.Stage {
 	s.writing.Lock()
@@ -79,7 +90,7 @@
 }
 
 // begin is the last check before the first byte, and writes it. That its client has left is seen here without waiting for a
-// turn.
+// turn, and so is a list that has grown too old since the choice.
 func (s *sending) begin(write func() bool) (withdrawn bool) {
 	s.writing.Lock()
 	defer s.writing.Unlock()
@@ -95,6 +106,10 @@
 	}
 	if write() {
 		s.stage.Store(int32(next))
+		s.p.oldestList.note(int64(now - s.listAsOf))
+		if s.link != nil {
+			s.link.pool.firstByte.note(int64(now))
+		}
 	}
 	return false
 }
@@ -108,7 +123,10 @@
 
 // dispatch hands a sending to a connection.
 func (p *Platform) dispatch(now control.Micros, s *sending, frame []byte) {
-	l := p.link(now, s)
+	var l *link
+	if server := p.fleet.Get(s.to); server != nil && server.State == control.Ready {
+		l = p.link(now, s)
+	}
 	s.timer = time.AfterFunc(span(max(0, s.deadline-now)), func() {
 		p.box.Tell(func(now control.Micros) { p.late(now, s) })
 	})
@@ -124,16 +142,22 @@
 	p.box.Tell(func(now control.Micros) { p.ended(now, s, control.NeverSent, nil) })
 }
 
+// poolOf gives the connections to a server that is listed.
+func (p *Platform) poolOf(id control.ServerID) *pool {
+	pl := p.pools[id]
+	if pl == nil {
+		server := p.fleet.Get(id)
+		pl = &pool{id: id, address: server.Address, born: control.Micros(server.Told.Born)}
+		p.pools[id] = pl
+	}
+	return pl
+}
+
 // link finds a connection: one with nothing open, else a new one, else the one with the least open; of equal ones one that
 // stands. One execution a connection as long as descriptors last: a spoilt answer costs all that is open on its
 // connection. A job's further execution goes on another, where no second answer to the earlier one can be taken for its own.
 func (p *Platform) link(now control.Micros, s *sending) *link {
-	pl := p.pools[s.to]
-	if pl == nil {
-		server := p.fleet.Get(s.to)
-		pl = &pool{id: s.to, address: server.Address, born: control.Micros(server.Told.Born)}
-		p.pools[s.to] = pl
-	}
+	pl := p.poolOf(s.to)
 	var best *link
 	for _, l := range pl.links {
 		if l.retired || l.out[s.id] != nil || len(l.out) >= p.told.streams || s.wentOn(l) {
--- /dev/null
+++ b/internal/platformtest/platformtest.go
@@ -0,0 +1,341 @@
+// Package platformtest holds fake peers of a router for tests: a notice board, model servers and a client. They speak the
+// platform's protocols on loopback and record what reaches them and when.
+package platformtest
+
+import (
+	"bufio"
+	"encoding/binary"
+	"encoding/json"
+	"fmt"
+	"hash/crc32"
+	"io"
+	"net"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/vmihailenco/msgpack/v5"
+
+	"hollymast/internal/board"
+)
+
+// Settings are start settings of a deployment with a restartable class, "again", in which jobs load what they need and orders
+// may be given.
+func Settings(grace time.Duration) string {
+	return fmt.Sprintf(`{"balancers": 1, "tick": 1000, "zones": ["east"],
+	"ceilings": {"cancel": true, "conn_idle": 15000000, "connect_timeout": 250000, "max_retry_after": 2000000, "retry_after": true,
+		"streams_per_conn": 100, "try_limit": 3},
+	"classes": [{"name": "again", "aim": 8000000, "hard_limit": 9000000, "importance": 1, "semantics": "pure", "window": 0}],
+	"contract": {"stop_sending_within": %d}, "customers": [{"name": "acme", "allowance_per_s": 1000}],
+	"specifics": {"when_absent": "load", "linger_idle": 60000000, "order_limit": 4000000, "kind_memory_mb": [1000], "load_control": true}}`,
+		grace.Microseconds())
+}
+
+// Configuration is a router's configuration file. The events are those that it knows at its start.
+func Configuration(boardAddress string, grace time.Duration, events ...board.Event) string {
+	known := board.Known{Notices: events}
+	if len(events) > 0 {
+		known.Rev = events[len(events)-1].Rev
+	}
+	text, err := json.Marshal(known)
+	if err != nil {
+		panic(err) // plain values
+	}
+	return fmt.Sprintf(`{"name": "n0", "listen": "127.0.0.1:0", "seed": "8c1f30d27a5be964", "board": %q,
+		"limits": {"cores": 1, "memory_mb": 64, "sockets": 256}, "known": %s, "settings": %s}`, boardAddress, text, Settings(grace))
+}
+
+// Event is one event of the notice board about one server. The first is the whole list.
+func Event(rev uint64, uid, address, state string) board.Event {
+	return board.Event{Rev: rev, Pool: &board.Pool{All: rev == 1, Targets: []board.Target{
+		{UID: uid, Endpoint: address, Zone: "east", Power: 4, State: state}}}}
+}
+
+// Line is an event as a board writes it.
+func Line(e board.Event) []byte {
+	text, err := json.Marshal(e)
+	if err != nil {
+		panic(err) // plain values
+	}
+	return append(text, '\n')
+}
+
+// Board is a fake notice board. It tells each watcher the events it asks for and a heartbeat each second.
+type Board struct {
+	listener net.Listener
+	mu       sync.Mutex
+	events   []board.Event
+	watchers map[net.Conn]struct{}
+	asked    []time.Time
+	script   func(c net.Conn, nth int) (handled bool)
+}
+
+// NewBoard starts a board that ends with the test. Script, where there is one, is asked first what to do with the nth watch,
+// counted from 1.
+func NewBoard(t testing.TB, address string, script func(c net.Conn, nth int) (handled bool), events ...board.Event) *Board {
+	t.Helper()
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	b := &Board{listener: l, events: events, watchers: map[net.Conn]struct{}{}, script: script}
+	t.Cleanup(func() { l.Close() })
+	go acceptEach(l, b.watch)
+	return b
+}
+
+func acceptEach(l net.Listener, serve func(net.Conn)) {
+	for {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		go func() {
+			defer c.Close()
+			serve(c)
+		}()
+	}
+}
+
+// Address is where it listens.
+func (b *Board) Address() string { return b.listener.Addr().String() }
+
+// Asked gives when each watch was asked for.
+func (b *Board) Asked() []time.Time {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return append([]time.Time(nil), b.asked...)
+}
+
+// Tell adds an event and writes it to all watchers. It gives the time from which the event counts as told.
+func (b *Board) Tell(e board.Event) time.Time {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.events = append(b.events, e)
+	told := time.Now()
+	for c := range b.watchers {
+		c.Write(Line(e))
+	}
+	return told
+}
+
+func (b *Board) watch(c net.Conn) {
+	line, err := bufio.NewReader(c).ReadString('\n')
+	if err != nil {
+		return
+	}
+	var last uint64
+	fmt.Sscanf(line, "watch %d", &last)
+	b.mu.Lock()
+	b.asked = append(b.asked, time.Now())
+	nth := len(b.asked)
+	b.mu.Unlock()
+	if b.script != nil && b.script(c, nth) {
+		return
+	}
+	b.mu.Lock()
+	for _, e := range b.events {
+		if e.Rev > last {
+			c.Write(Line(e))
+		}
+	}
+	b.watchers[c] = struct{}{}
+	b.mu.Unlock()
+	defer func() {
+		b.mu.Lock()
+		defer b.mu.Unlock()
+		delete(b.watchers, c)
+	}()
+	for b.heartbeat(c) {
+		time.Sleep(time.Second)
+	}
+}
+
+func (b *Board) heartbeat(c net.Conn) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var last uint64
+	if n := len(b.events); n > 0 {
+		last = b.events[n-1].Rev
+	}
+	_, err := fmt.Fprintln(c, last)
+	return err == nil
+}
+
+// The codes of frames to model servers.
+const (
+	Execution = 65
+	Order     = 69
+)
+
+// Received is one frame as a model server got it.
+type Received struct {
+	Code byte
+	At   time.Time // of its first byte
+}
+
+// ModelServer is a fake model server: it has everything loaded and answers each execution with its body.
+type ModelServer struct {
+	listener net.Listener
+	mu       sync.Mutex
+	received []Received
+	held     []func() // answers
+	holding  bool
+}
+
+// NewModelServer starts one that ends with the test.
+func NewModelServer(t testing.TB) *ModelServer {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := &ModelServer{listener: l}
+	t.Cleanup(func() { l.Close() })
+	go acceptEach(l, s.serve)
+	return s
+}
+
+// Address is where it listens.
+func (s *ModelServer) Address() string { return s.listener.Addr().String() }
+
+// Received gives what came so far.
+func (s *ModelServer) Received() []Received {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return append([]Received(nil), s.received...)
+}
+
+// Hold has answers wait until Release.
+func (s *ModelServer) Hold() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.holding = true
+}
+
+// Release gives all answers that wait.
+func (s *ModelServer) Release() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.holding = false
+	for _, answer := range s.held {
+		answer()
+	}
+	s.held = nil
+}
+
+func (s *ModelServer) answer(c net.Conn, frame []byte) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.holding {
+		s.held = append(s.held, func() { c.Write(frame) })
+		return
+	}
+	c.Write(frame)
+}
+
+func (s *ModelServer) serve(c net.Conn) {
+	in := bufio.NewReader(c)
+	for {
+		if _, err := in.Peek(1); err != nil {
+			return
+		}
+		at := time.Now()
+		var head [16]byte
+		if _, err := io.ReadFull(in, head[:]); err != nil {
+			return
+		}
+		fields := int(binary.BigEndian.Uint16(head[2:]))
+		rest := make([]byte, fields+int(binary.BigEndian.Uint32(head[4:]))+4)
+		if _, err := io.ReadFull(in, rest); err != nil {
+			return
+		}
+		s.mu.Lock()
+		s.received = append(s.received, Received{head[1], at})
+		s.mu.Unlock()
+		switch head[1] {
+		case Execution:
+			s.answer(c, answerFrame(head[8:16], "remark=resident", rest[fields:len(rest)-4]))
+		case Order:
+			pods := "1"
+			for field := range strings.SplitSeq(string(rest[:fields]), ",") {
+				if value, is := strings.CutPrefix(field, "pods="); is {
+					pods = value
+				}
+			}
+			s.answer(c, answerFrame(head[8:16], "pods="+pods, nil))
+		}
+	}
+}
+
+func answerFrame(id []byte, fields string, body []byte) []byte {
+	const mark, ok = 108, 97
+	b := []byte{mark, ok}
+	b = binary.BigEndian.AppendUint16(b, uint16(len(fields)))
+	b = binary.BigEndian.AppendUint32(b, uint32(len(body)))
+	b = append(b, id...)
+	rest := append([]byte(fields), body...)
+	return binary.BigEndian.AppendUint32(append(b, rest...), crc32.ChecksumIEEE(rest))
+}
+
+// Client is one connection of a client.
+type Client struct {
+	t      testing.TB
+	conn   net.Conn
+	dec    *msgpack.Decoder
+	number int
+}
+
+// Dial connects to a router.
+func Dial(t testing.TB, address string) *Client {
+	t.Helper()
+	conn, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { conn.Close() })
+	const longest = 30 * time.Second
+	conn.SetDeadline(time.Now().Add(longest))
+	return &Client{t: t, conn: conn, dec: msgpack.NewDecoder(conn)}
+}
+
+func (c *Client) send(method string, args ...any) {
+	c.t.Helper()
+	c.number++
+	b, err := msgpack.Marshal([]any{0, c.number, method, args})
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	if _, err := c.conn.Write(b); err != nil {
+		c.t.Fatal(err)
+	}
+}
+
+// Call sends a request of the class "again" for a function, and waits for no answer.
+func (c *Client) Call(ref, function uint64) {
+	c.t.Helper()
+	c.send("again", map[string]string{"ref": fmt.Sprintf("%016x", ref), "allow": "8900", "project": "acme",
+		"lookup": fmt.Sprintf("%016x", function), "spec": "memory_mb:512;lanes:2"}, []byte("body"))
+}
+
+// Answer waits for the next answer. Served tells that it is no error.
+func (c *Client) Answer() (served bool) {
+	c.t.Helper()
+	v, err := c.dec.DecodeSlice()
+	if err != nil {
+		c.t.Fatalf("no answer: %v", err)
+	}
+	return v[2] == nil
+}
+
+// Well asks whether the router is well.
+func (c *Client) Well() bool {
+	c.t.Helper()
+	c.send("isWell", map[string]string{})
+	v, err := c.dec.DecodeSlice()
+	if err != nil {
+		c.t.Fatalf("no answer: %v", err)
+	}
+	return v[3].([]any)[0] == true
+}
