Within a turn the list of servers comes before all else that was heard

A second cause of requests to draining servers: a turn calls what was heard in its order, and the end of an execution leads to the next one at once (core.Answered, carry), before a change of the list that stands further back in the same batch. After a stop or on a small core many events share a batch. The connection's own goroutine may write the choice before the list withdraws it (platform.go, turn; mailbox.go, Take; gateway alike).

mailbox.TellList has lists called first. TestListComesFirstInItsTurn forces it: with Tell in its place the server that drains is still ready for what was heard before, and the test fails; so does TestListsComeFirst. The fake peers of the tests end their connections before their test does.

--- a/internal/gateway/lists.go
+++ b/internal/gateway/lists.go
@@ -68,7 +68,7 @@
 				if g.counted != nil {
 					g.counted.listed(members.Facts(), f.Services())
 				}
-				g.tell(func(now control.Micros) { g.listed(now, list) })
+				g.box.TellList(func(now control.Micros) { g.listed(now, list) })
 			}
 		},
 		Note: func(text string) { g.log.Info().Msg("xds: " + text) }}
@@ -86,7 +86,7 @@
 			g.log.Info().Msg("xds: " + note)
 		}
 		if list, news := members.News(g.now()); news {
-			g.tell(func(now control.Micros) { g.listed(now, list) })
+			g.box.TellList(func(now control.Micros) { g.listed(now, list) })
 		}
 	}
 	take = func(text []byte) {
@@ -117,7 +117,7 @@
 		}
 		return
 	}
-	g.tell(func(now control.Micros) { g.listed(now, list) })
+	g.box.TellList(func(now control.Micros) { g.listed(now, list) })
 }
 
 // listed passes a list on and takes back what is on its way to servers that take nothing new.
--- a/internal/mailbox/mailbox_test.go
+++ b/internal/mailbox/mailbox_test.go
@@ -1,6 +1,7 @@
 package mailbox
 
 import (
+	"slices"
 	"testing"
 
 	"hollymast/control"
@@ -29,3 +30,27 @@
 	default:
 	}
 }
+
+// A list is called before all else, however late it came.
+func TestListsComeFirst(t *testing.T) {
+	b := New()
+	var got []string
+	note := func(what string) func(control.Micros) {
+		return func(control.Micros) { got = append(got, what) }
+	}
+	b.Tell(note("answer"))
+	b.TellList(note("list 1"))
+	b.Tell(note("request"))
+	b.TellList(note("list 2"))
+	batch := b.Take(nil)
+	for _, f := range batch {
+		f(0)
+	}
+	if want := []string{"list 1", "list 2", "answer", "request"}; !slices.Equal(got, want) {
+		t.Errorf("called %v, want %v", got, want)
+	}
+	b.TellList(note("list 3")) // what is given up to be filled again holds nothing of before
+	if rest := b.Take(batch); len(rest) != 1 {
+		t.Errorf("%d left", len(rest))
+	}
+}
--- a/internal/platform/drain_test.go
+++ b/internal/platform/drain_test.go
@@ -123,6 +123,26 @@
 	}
 }
 
+// Within a turn the list comes first: what was heard before it leads to further executions, which must not be chosen from the
+// older list.
+func TestListComesFirstInItsTurn(t *testing.T) {
+	server := platformtest.NewModelServer(t)
+	plane := platformtest.NewBoard(t, "127.0.0.1:0", nil, platformtest.Event(1, "s-0", server.Address(), "ready"))
+	r := startTold(t, platformtest.Configuration(plane.Address(), time.Second, platformtest.Event(1, "s-0", server.Address(), "ready")))
+	until(t, "the router is well", r.ready.Load)
+	state := make(chan control.ServerState, 1)
+	r.box.Tell(func(control.Micros) { // a turn that lasts
+		r.box.Tell(func(control.Micros) { state <- r.fleet.Get(fleet.ID("s-0")).State })
+		plane.Tell(platformtest.Event(2, "s-0", server.Address(), "draining"))
+		for r.follower.Last() < 2 {
+			r.follower.CatchUp()
+		}
+	})
+	if got := <-state; got != control.Draining {
+		t.Errorf("a choice for what was heard before the list would find the server in state %d", got)
+	}
+}
+
 // A router that starts with a configuration that has grown old chooses nothing before the board has answered.
 func TestStartCrossesADrain(t *testing.T) {
 	const grace = 2 * time.Second // the answer has a quarter of it to come
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -114,7 +114,7 @@
 	p.timer = time.NewTimer(time.Hour)
 	p.listed(p.epoch, state.List())
 	p.follower = board.NewFollower(state, told.Board, span(told.grace), told.Seed, func(list []fleet.Entry) {
-		p.box.Tell(func(now control.Micros) { p.listed(now, list) })
+		p.box.TellList(func(now control.Micros) { p.listed(now, list) })
 	}, func(text string, err error) { p.log.Info().AnErr("why", err).Msg(text) })
 	l, err := net.Listen("tcp", told.Listen)
 	if err != nil {
--- a/internal/platformtest/platformtest.go
+++ b/internal/platformtest/platformtest.go
@@ -68,6 +68,7 @@
 	events   []board.Event
 	watchers map[net.Conn]struct{}
 	asked    []time.Time
+	ended    chan struct{}
 	script   func(c net.Conn, nth int) (handled bool)
 }
 
@@ -79,23 +80,44 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	b := &Board{listener: l, events: events, watchers: map[net.Conn]struct{}{}, script: script}
-	t.Cleanup(func() { l.Close() })
-	go acceptEach(l, b.watch)
+	b := &Board{listener: l, events: events, watchers: map[net.Conn]struct{}{}, ended: make(chan struct{}), script: script}
+	acceptEach(t, l, b.watch)
+	t.Cleanup(func() { close(b.ended) }) // before the connections are waited for
 	return b
 }
 
-func acceptEach(l net.Listener, serve func(net.Conn)) {
-	for {
-		c, err := l.Accept()
-		if err != nil {
-			return
+// acceptEach serves each connection until the test ends, and has all of them ended by then.
+func acceptEach(t testing.TB, l net.Listener, serve func(net.Conn)) {
+	var mu sync.Mutex
+	conns := map[net.Conn]struct{}{}
+	var all sync.WaitGroup
+	all.Go(func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			mu.Lock()
+			conns[c] = struct{}{}
+			mu.Unlock()
+			all.Go(func() {
+				serve(c)
+				c.Close()
+				mu.Lock()
+				defer mu.Unlock()
+				delete(conns, c)
+			})
 		}
-		go func() {
-			defer c.Close()
-			serve(c)
-		}()
-	}
+	})
+	t.Cleanup(func() {
+		l.Close()
+		mu.Lock()
+		for c := range conns {
+			c.Close()
+		}
+		mu.Unlock()
+		all.Wait()
+	})
 }
 
 // Address is where it listens.
@@ -148,7 +170,11 @@
 		delete(b.watchers, c)
 	}()
 	for b.heartbeat(c) {
-		time.Sleep(time.Second)
+		select {
+		case <-time.After(time.Second):
+		case <-b.ended:
+			return
+		}
 	}
 }
 
@@ -192,8 +218,7 @@
 		t.Fatal(err)
 	}
 	s := &ModelServer{listener: l}
-	t.Cleanup(func() { l.Close() })
-	go acceptEach(l, s.serve)
+	acceptEach(t, l, s.serve)
 	return s
 }
 
