After an unanswered question the notice board is asked again within the grace

A watch that ends before a heartbeat has told that its answer was whole begins a hurry of one grace: a wait and a dial take a quarter of it each at most. Waits keep their chance and go on growing behind the bound, so that a board that stays away is asked no more often than before; a board that answers whole and then breaks off is asked less and less often, as before (TestBoardThatBreaksOffIsAskedLessOften, unchanged).

--- a/internal/backoff/backoff.go
+++ b/internal/backoff/backoff.go
@@ -20,9 +20,12 @@
 }
 
 // Next gives the next wait.
-func (b *Backoff) Next() time.Duration {
-	span := b.next
-	b.next = min(2*span, b.longest)
+func (b *Backoff) Next() time.Duration { return b.NextWithin(b.longest) }
+
+// NextWithin gives the next wait where this one may last no longer than a limit. Part of it is up to chance all the same.
+func (b *Backoff) NextWithin(limit time.Duration) time.Duration {
+	span := min(b.next, limit)
+	b.next = min(2*b.next, b.longest)
 	return span/2 + time.Duration(b.chance.Int64N(int64(span/2)+1))
 }
 
--- a/internal/backoff/backoff_test.go
+++ b/internal/backoff/backoff_test.go
@@ -25,3 +25,26 @@
 		t.Error("both wait alike")
 	}
 }
+
+// A wait that may not last as long as it would otherwise still differs from asker to asker, and failures go on counting.
+func TestNextWithinKeepsChanceAndGrowth(t *testing.T) {
+	const limit = 100 * time.Millisecond
+	seen := map[time.Duration]bool{}
+	for seed := range uint64(20) {
+		b := New(seed, 10*time.Millisecond, time.Second)
+		for range 10 {
+			b.Next()
+		}
+		wait := b.NextWithin(limit)
+		if wait < limit/2 || wait > limit {
+			t.Errorf("%s", wait)
+		}
+		seen[wait] = true
+		if wait := b.Next(); wait < time.Second/2 {
+			t.Errorf("afterwards %s", wait)
+		}
+	}
+	if len(seen) < 15 {
+		t.Errorf("%d different waits of 20 askers", len(seen))
+	}
+}
--- a/internal/board/board.go
+++ b/internal/board/board.go
@@ -52,13 +52,17 @@
 	last    uint64
 	servers map[string]fleet.Entry
 	asked   bool // nothing was heard since the last time that we asked
+	level   bool // since then a heartbeat has told that nothing is missing
 }
 
 // Last is the number of the last event that was taken in.
 func (s *State) Last() uint64 { return s.last }
 
 // Asked notes that all after Last was asked for: what comes first is what the board has, even where numbers are left out.
-func (s *State) Asked() { s.asked = true }
+func (s *State) Asked() { s.asked, s.level = true, false }
+
+// Level tells whether a heartbeat has told, since all was asked for, that nothing is missing.
+func (s *State) Level() bool { return s.level }
 
 // Meaning is what a line calls for.
 type Meaning uint8
@@ -84,6 +88,7 @@
 		if n > s.last {
 			return AskAgain, nil
 		}
+		s.level = s.level || n == s.last
 		return Nothing, nil
 	}
 	var e Event
--- a/internal/board/follow.go
+++ b/internal/board/follow.go
@@ -23,10 +23,14 @@
 
 	startOnce sync.Once
 	started   chan struct{}
-	mu        sync.Mutex
-	address   string
-	state     State
-	watch     *watch // nil: none stands
+	// hurryUntil bounds the waits after a watch that ended before its answer was whole: all that it would have told counts as
+	// told since it was asked for. It belongs to Follow.
+	hurryUntil time.Time
+
+	mu      sync.Mutex
+	address string
+	state   State
+	watch   *watch // nil: none stands
 }
 
 // NewFollower follows from a state on. Told hears each new list, Note what went wrong. Told is called with a lock held: it may
@@ -89,7 +93,9 @@
 		before, began := f.Last(), time.Now()
 		w, err := f.ask(ctx)
 		if err == nil {
-			err = f.listen(ctx, w)
+			if err = f.listen(ctx, w); !f.level() {
+				f.hurryUntil = time.Now().Add(f.grace)
+			}
 		}
 		if ctx.Err() != nil {
 			return
@@ -105,7 +111,7 @@
 			f.pause.Well()
 		}
 		select {
-		case <-time.After(f.pause.Next()):
+		case <-time.After(f.pause.NextWithin(f.atMost(pauseMost))):
 		case <-f.turned:
 			f.pause.Well()
 		case <-ctx.Done():
@@ -120,12 +126,28 @@
 	return f.state.Last()
 }
 
+// level tells whether the last watch was answered whole.
+func (f *Follower) level() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.state.Level()
+}
+
+// atMost bounds a wait. In a hurry a pause and a dial take a quarter of the grace each at most; the other half is for the answer
+// and the way to the model server (attempt.Fresh).
+func (f *Follower) atMost(usual time.Duration) time.Duration {
+	if time.Now().Before(f.hurryUntil) {
+		return min(usual, f.grace/4)
+	}
+	return usual
+}
+
 // ask dials and asks for all that is new. The watch that stood before is read to its end first and then closed.
 func (f *Follower) ask(ctx context.Context) (*watch, error) {
 	f.mu.Lock()
 	address := f.address
 	f.mu.Unlock()
-	dialer := net.Dialer{Timeout: dialTime}
+	dialer := net.Dialer{Timeout: f.atMost(dialTime)}
 	conn, err := dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, err
--- a/internal/board/follow_test.go
+++ b/internal/board/follow_test.go
@@ -1,6 +1,7 @@
 package board
 
 import (
+	"bufio"
 	"context"
 	"fmt"
 	"net"
@@ -123,6 +124,53 @@
 	next(t, "the list", a.told)
 }
 
+// A board that was down for long, comes back and breaks off within the first event is asked again within half the grace: what
+// it would have told counts as told since it was asked.
+func TestBreakInTheAnswerAfterALongOutage(t *testing.T) {
+	for name, answer := range map[string]string{
+		"within the first event":   event(1, true, "a", "10.0.0.1:1", "ready")[:60],
+		"after the first event":    event(1, true, "a", "10.0.0.1:1", "ready") + "\n",
+		"before it says anything":  "",
+		"an event is missing":      event(1, true, "a", "10.0.0.1:1", "ready") + "\n7\n",
+		"what it says is no event": "{}}\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			address := l.Addr().String()
+			l.Close() // it is down, until the waits have grown
+			follow(t, address)
+			time.Sleep(2500 * time.Millisecond)
+			if l, err = net.Listen("tcp", address); err != nil {
+				t.Fatal(err)
+			}
+			defer l.Close()
+			var asked [3]time.Time
+			for i := range asked {
+				c, err := l.Accept()
+				if err != nil {
+					t.Fatal(err)
+				}
+				bufio.NewReader(c).ReadString('\n')
+				asked[i] = time.Now()
+				if i < len(asked)-1 {
+					fmt.Fprint(c, answer)
+				}
+				c.Close()
+			}
+			const slack = 50 * time.Millisecond // of a busy machine
+			for i := range asked[1:] {
+				if took := asked[i+1].Sub(asked[i]); took > testGrace/2+slack {
+					t.Errorf("asked again after %v", took)
+				}
+			}
+		})
+	}
+}
+
 // A start does not wait for a board that can't be reached.
 func TestStartedWithoutABoard(t *testing.T) {
 	f, _ := follow(t, "127.0.0.1:1")
