A gap or an unusable event of the notice board hides no drain behind it

Further causes, in the list's own state (board/board.go): - Known set the last number to the configuration's, whatever its events left out: what was left out was never asked for. It is taken in up to the first gap, and the board is asked from there. - After asking, a gap was believed at once. It is asked for once more, and believed if it stays. - An event that stays unusable, an unreadable line or one of absurd length ended every watch: nothing behind it was heard. It is asked for again, nothing of it is taken in and what was known stands; where it can't be used then either it is passed over.

Each test in board_test.go and follow_test.go (TestDrainBehindWhatCanNotBeUsed, TestGapAfterAskingIsAskedForOnce, TestKnownWithAGap, TestDrainAfterALineOfAbsurdLength) was seen to fail on the state as it was.

--- a/internal/board/board.go
+++ b/internal/board/board.go
@@ -1,5 +1,5 @@
 // Package board is the notice board: the list of servers as it tells it, in numbered events, one a line. What a line means
-// and when to ask again is plain state, free of I/O and clocks; Follow dials.
+// and when to ask again is plain state (State), free of I/O and clocks; Follower dials and reads.
 package board
 
 import (
@@ -53,17 +53,31 @@
 	servers map[string]fleet.Entry
 	asked   bool // nothing was heard since the last time that we asked
 	level   bool // since then a heartbeat has told that nothing is missing
+	// doubted is set where what follows Last could not be used: it was asked for once more. Guards against a loop over what
+	// stays unusable, behind which a drain would never be heard.
+	doubted   bool
+	doubtedAt uint64 // Last at that time
 }
 
 // Last is the number of the last event that was taken in.
 func (s *State) Last() uint64 { return s.last }
 
-// Asked notes that all after Last was asked for: what comes first is what the board has, even where numbers are left out.
+// Asked notes that all after Last was asked for.
 func (s *State) Asked() { s.asked, s.level = true, false }
 
 // Level tells whether a heartbeat has told, since all was asked for, that nothing is missing.
 func (s *State) Level() bool { return s.level }
 
+// doubt notes that what follows Last can't be used; again tells that it could not be the last time either.
+func (s *State) doubt() (again bool) {
+	again = s.doubted && s.doubtedAt == s.last
+	s.doubted, s.doubtedAt = true, s.last
+	return again
+}
+
+// TooLong takes in a line that is too long to be an event; skip tells that it was so the last time too: what follows it counts.
+func (s *State) TooLong() (skip bool) { return s.doubt() }
+
 // Meaning is what a line calls for.
 type Meaning uint8
 
@@ -74,7 +88,8 @@
 	AskAgain         // an event is missing: ask from Last on
 )
 
-// Line takes in a line. An error tells that it can't be read; nothing of it was taken in.
+// Line takes in a line. An error tells that it can't be used: nothing of it was taken in, and all after Last is to be asked for
+// again. Where it can't be used then either it is passed over, so that what follows is heard.
 func (s *State) Line(line []byte) (Meaning, error) {
 	line = bytes.TrimSpace(line)
 	if len(line) == 0 {
@@ -83,7 +98,7 @@
 	if line[0] != '{' {
 		n, err := strconv.ParseUint(string(line), 10, 64)
 		if err != nil {
-			return Nothing, fmt.Errorf("notice board: %q is no number", line[:min(len(line), 40)])
+			return s.unusable(fmt.Errorf("notice board: %q is no number", line[:min(len(line), 40)]))
 		}
 		if n > s.last {
 			return AskAgain, nil
@@ -93,22 +108,35 @@
 	}
 	var e Event
 	if err := json.Unmarshal(line, &e); err != nil {
-		return Nothing, fmt.Errorf("notice board: %w", err)
+		return s.unusable(fmt.Errorf("notice board: %w", err))
 	}
 	return s.Event(e)
 }
 
-// Event takes in one event: an older one is passed over, and one after a gap not taken in.
+// unusable gives the error the first time that what follows Last can't be used.
+func (s *State) unusable(err error) (Meaning, error) {
+	if s.doubt() {
+		return Nothing, nil
+	}
+	return Nothing, err
+}
+
+// Event takes in one event: an older one is passed over, and one after a gap not taken in, unless all was asked for twice and
+// the gap stays: then the board has nothing there.
 func (s *State) Event(e Event) (Meaning, error) {
 	if e.Rev <= s.last {
 		return Nothing, nil
 	}
-	if e.Rev > s.last+1 && s.last > 0 && !s.asked {
+	if e.Rev > s.last+1 && s.last > 0 && (!s.asked || !s.doubt()) {
 		return AskAgain, nil
 	}
 	if e.Pool != nil {
 		if err := e.Pool.check(); err != nil {
-			return Nothing, err
+			meaning, err := s.unusable(err)
+			if err == nil {
+				s.last, s.asked = e.Rev, false
+			}
+			return meaning, err
 		}
 		if e.Pool.All || s.servers == nil {
 			s.servers = map[string]fleet.Entry{}
@@ -142,16 +170,16 @@
 	return nil
 }
 
-// Known takes in what a configuration tells.
+// Known takes in what a configuration tells, up to the first event that it leaves out: from there on the board is asked.
 func (s *State) Known(k Known) error {
 	for _, e := range k.Notices {
-		s.asked = true
+		if s.last > 0 && e.Rev > s.last+1 {
+			break
+		}
 		if _, err := s.Event(e); err != nil {
 			return err
 		}
 	}
-	s.last = max(s.last, k.Rev)
-	s.asked = false
 	return nil
 }
 
--- a/internal/board/board_test.go
+++ b/internal/board/board_test.go
@@ -3,11 +3,13 @@
 import (
 	"bufio"
 	"context"
+	"encoding/json"
 	"fmt"
 	"net"
 	"testing"
 	"time"
 
+	"hollymast/control"
 	"hollymast/internal/fleet"
 )
 
@@ -166,3 +168,89 @@
 		t.Errorf("asked %d times in 2 s", n)
 	}
 }
+
+// newState has taken in event 1, of server a, and asked for what follows.
+func newState(t *testing.T) *State {
+	t.Helper()
+	s := &State{}
+	if _, err := s.Line([]byte(event(1, true, "a", "10.0.0.1:1", "ready"))); err != nil {
+		t.Fatal(err)
+	}
+	s.Asked()
+	return s
+}
+
+// What can't be used is asked for again, and passed over only if it stays: what was known stands, and the drain behind it is
+// taken in.
+func TestDrainBehindWhatCanNotBeUsed(t *testing.T) {
+	for name, bad := range map[string]string{
+		"an unreadable line": `{"rev":2,"pool":[`,
+		"an unknown state":   event(2, false, "b", "10.0.0.2:1", "asleep"),
+		"no address":         event(2, false, "b", "", "ready"),
+		"not even an object": "two",
+	} {
+		s := newState(t)
+		if _, err := s.Line([]byte(bad)); err == nil {
+			t.Errorf("%s: taken", name)
+		}
+		if list := s.List(); len(list) != 1 || list[0].State != control.Ready || s.Last() != 1 {
+			t.Errorf("%s: it changed the list to %v, as of %d", name, list, s.Last())
+		}
+		s.Asked()
+		if _, err := s.Line([]byte(bad)); err != nil {
+			t.Errorf("%s stays: %v", name, err)
+		}
+		meaning, err := s.Line([]byte(event(3, false, "a", "10.0.0.1:1", "draining")))
+		if list := s.List(); err != nil || meaning != Changed || list[0].State != control.Draining {
+			t.Errorf("%s: then %v, %v, %v", name, meaning, err, list)
+		}
+	}
+}
+
+// What was left out is asked for once more before it is believed that there is nothing.
+func TestGapAfterAskingIsAskedForOnce(t *testing.T) {
+	s := newState(t)
+	gap := []byte(event(3, false, "b", "10.0.0.2:1", "ready"))
+	if meaning, err := s.Line(gap); meaning != AskAgain || err != nil {
+		t.Errorf("the first time: %v, %v", meaning, err)
+	}
+	if s.Asked(); s.Last() != 1 {
+		t.Errorf("asked from %d on", s.Last())
+	}
+	if meaning, err := s.Line(gap); meaning != Changed || err != nil {
+		t.Errorf("the second time: %v, %v", meaning, err)
+	}
+}
+
+// What a configuration leaves out is asked for.
+func TestKnownWithAGap(t *testing.T) {
+	text := func(line string) (e Event) {
+		if err := json.Unmarshal([]byte(line), &e); err != nil {
+			t.Fatal(err)
+		}
+		return e
+	}
+	s := &State{}
+	known := Known{Rev: 5, Notices: []Event{text(event(1, true, "a", "10.0.0.1:1", "ready")), text(event(2, false, "b", "10.0.0.2:1", "ready")),
+		text(event(4, false, "c", "10.0.0.3:1", "ready"))}}
+	if err := s.Known(known); err != nil {
+		t.Fatal(err)
+	}
+	if s.Last() != 2 || len(s.List()) != 2 {
+		t.Errorf("as of %d: %v", s.Last(), s.List())
+	}
+}
+
+// A heartbeat tells that the answer to a question was whole.
+func TestLevel(t *testing.T) {
+	s := newState(t)
+	if s.Level() {
+		t.Error("before the heartbeat")
+	}
+	if s.Line([]byte("1")); !s.Level() {
+		t.Error("not after the heartbeat")
+	}
+	if s.Asked(); s.Level() {
+		t.Error("a new question was not answered yet")
+	}
+}
--- a/internal/board/follow.go
+++ b/internal/board/follow.go
@@ -264,6 +264,8 @@
 	return nil
 }
 
+func (f *Follower) tooLong() (skip bool) { return f.state.TooLong() }
+
 // leave closes a watch that has ended.
 func (f *Follower) leave(w *watch) {
 	f.mu.Lock()
--- a/internal/board/follow_test.go
+++ b/internal/board/follow_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"net"
+	"strings"
 	"syscall"
 	"testing"
 	"time"
@@ -194,3 +195,20 @@
 	next(t, "the start", a.Started())
 	next(t, "the list", a.told)
 }
+
+// A line of absurd length ends the connection; where it stays it is passed over, and the drain that follows is heard.
+func TestDrainAfterALineOfAbsurdLength(t *testing.T) {
+	address, conns, questions := plane(t)
+	_, told := follow(t, address)
+	for range 2 {
+		c := next(t, "a connection", conns)
+		next(t, "a question", questions)
+		go func() {
+			fmt.Fprintln(c, strings.Repeat("x", maxLine+2*chunk))
+			fmt.Fprintln(c, event(2, true, "a", "10.0.0.1:1", "draining"))
+		}()
+	}
+	if list := next(t, "the list", told); len(list) != 1 || list[0].State != control.Draining {
+		t.Errorf("got %v", list)
+	}
+}
--- a/internal/board/watch.go
+++ b/internal/board/watch.go
@@ -17,6 +17,7 @@
 	unread   []byte // read from the connection, but no whole line yet
 	address  string
 	heard    time.Time // a whole line, or the question
+	skipping bool      // to the end of a line that is too long
 	complete time.Time // as of when all that had come was read
 	ended    error     // nothing further comes
 }
@@ -41,6 +42,7 @@
 // events is what a watch passes on what it reads to.
 type events interface {
 	line(line []byte) error
+	tooLong() (skip bool)
 }
 
 // newWatch asks at an address for all events after a number.
@@ -118,16 +120,24 @@
 		line := w.unread[:end]
 		w.unread = w.unread[end+1:]
 		w.heard = time.Now()
+		if w.skipping {
+			w.skipping = false
+			continue
+		}
 		if err := to.line(line); err != nil {
 			return err
 		}
 	}
-	if len(w.unread) > maxLine {
-		return errLongLine
-	}
-	if len(w.unread) == 0 {
+	if w.skipping || len(w.unread) == 0 {
 		w.unread = nil
 	}
+	if len(w.unread) <= maxLine {
+		return nil
+	}
+	if !to.tooLong() {
+		return errLongLine
+	}
+	w.skipping, w.unread = true, nil
 	return nil
 }
 
