xDS: a look takes in what is unread on the connection; an unanswered stream is asked again soon

The source now dials itself and knows whether bytes are unread and when the last were read; a look waits until none are and their message has had 2 ms to come out of the stream, for a quarter of the grace at most. That last step is a bound and no proof: gRPC offers none (docs/platform.md). - A stream that ended before its answer was asked for again after up to 10 s. For one grace a wait now is a quarter of it at most. - gRPC's own backoff (1 s to 120 s) held tries up besides ours; it is reset before each.

On a calm stream a look costs one peek and waits for nothing.

--- a/internal/gateway/lists.go
+++ b/internal/gateway/lists.go
@@ -63,6 +63,7 @@
 	members := membership.New(membership.Usual)
 	f := xds.NewFollower(members, fmt.Sprintf("hollymast-%d", g.told.Deployment.Number), g.told.Zone, g.told.PlaneDelta, xds.Usual)
 	source := xds.Source{Address: g.told.Plane, Creds: g.credentials(toPlane), Delta: g.told.PlaneDelta, Seed: uint64(g.epoch), Now: g.now, Refresh: g.refresh,
+		Grace: g.told.Grace,
 		Changed: func(now control.Micros) {
 			if list, news := members.News(now); news {
 				if g.counted != nil {
--- /dev/null
+++ b/internal/xds/drain_test.go
@@ -0,0 +1,176 @@
+package xds
+
+import (
+	"context"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"hollymast/control"
+	"hollymast/internal/membership"
+	"hollymast/internal/standin"
+)
+
+const testGrace = 2 * time.Second
+
+// gatedConn is a connection whose reader can be held up, as that of a process that was stopped.
+type gatedConn struct {
+	*net.TCPConn
+	mu   *sync.Mutex // held: nothing is read
+	came chan struct{}
+}
+
+func (c gatedConn) Read(b []byte) (int, error) {
+	c.mu.Lock()
+	c.mu.Unlock()
+	return c.TCPConn.Read(b)
+}
+
+// A look at the list takes in what has come though nobody has read it from the connection yet.
+func TestLookCrossesAnUnreadChange(t *testing.T) {
+	for name, delta := range map[string]bool{"state of the world": false, "delta": true} {
+		t.Run(name, func(t *testing.T) {
+			plane, err := standin.NewPlane()
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer plane.Stop()
+			tell := func(states ...string) {
+				plane.Change(func(cs map[string][]standin.Member) {
+					ms := members(healthy, healthy)
+					for i, s := range states {
+						if s == "draining" {
+							ms[i].Health = draining
+						}
+					}
+					cs["c"] = ms
+				})
+			}
+			tell("ready", "ready")
+			var gate sync.Mutex
+			conns := make(chan *watchedConn, 4)
+			m := membership.New(membership.Usual)
+			var mu sync.Mutex
+			list := map[string]control.ServerState{}
+			refresh := make(chan chan struct{})
+			source := Source{Address: plane.Address(), Delta: delta, Now: now, Refresh: refresh, Grace: testGrace, Note: func(string) {},
+				Dial: func(ctx context.Context, address string) (net.Conn, error) {
+					c, err := dialTCP(ctx, address)
+					if err != nil {
+						return nil, err
+					}
+					gated := gatedConn{TCPConn: c.(*net.TCPConn), mu: &gate}
+					conns <- &watchedConn{Conn: gated}
+					return gated, nil
+				},
+				Changed: func(control.Micros) {
+					mu.Lock()
+					defer mu.Unlock()
+					for _, e := range m.List() {
+						list[e.Address] = e.State
+					}
+				}}
+			state := func() control.ServerState {
+				mu.Lock()
+				defer mu.Unlock()
+				return list["127.0.0.1:80"]
+			}
+			ctx, stop := context.WithCancel(context.Background())
+			done := make(chan error, 1)
+			go func() { done <- source.Follow(ctx, NewFollower(m, "router-0", "a", delta, Usual)) }()
+			defer func() {
+				stop()
+				if err := <-done; err != nil {
+					t.Error(err)
+				}
+			}()
+			eventually(t, "the first list", func() bool { return state() == control.Ready })
+			conn := <-conns
+			conn.reading.Store(true)
+			gate.Lock()
+			// A read that is under way takes one message more than the gate allows: it is given one that says nothing new.
+			tell("ready", "ready")
+			time.Sleep(50 * time.Millisecond)
+			tell("draining", "ready")
+			eventually(t, "the change is in the socket", conn.unread)
+			looked := make(chan struct{})
+			refresh <- looked
+			select {
+			case <-looked:
+				t.Error("the look ended before what had come was read")
+			case <-time.After(20 * time.Millisecond):
+			}
+			gate.Unlock()
+			<-looked
+			if got := state(); got != control.Draining {
+				t.Errorf("after the look the server is in state %d", got)
+			}
+		})
+	}
+}
+
+func eventually(t *testing.T, what string, done func() bool) {
+	t.Helper()
+	for range 4000 {
+		if done() {
+			return
+		}
+		time.Sleep(time.Millisecond)
+	}
+	t.Fatalf("not within 4 s: %s", what)
+}
+
+// A control plane that breaks off before it has answered is asked again within half the grace, however long it was down before;
+// one that can't be reached is asked less and less often.
+func TestBreakBeforeTheAnswer(t *testing.T) {
+	plane, err := standin.NewPlane()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer plane.Stop()
+	plane.Stall(true) // it says nothing, and then cuts
+	up := make(chan time.Time, 100)
+	var mu sync.Mutex
+	down := true
+	source := Source{Address: plane.Address(), Now: now, Grace: testGrace, Note: func(string) {}, Changed: func(control.Micros) {},
+		Dial: func(ctx context.Context, address string) (net.Conn, error) {
+			up <- time.Now()
+			mu.Lock()
+			defer mu.Unlock()
+			if down {
+				return nil, net.ErrClosed
+			}
+			return dialTCP(ctx, address)
+		}}
+	ctx, stop := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() {
+		done <- source.Follow(ctx, NewFollower(membership.New(membership.Usual), "router-0", "a", false, Usual))
+	}()
+	defer func() {
+		stop()
+		if err := <-done; err != nil {
+			t.Error(err)
+		}
+	}()
+	const tries = 6 // 100 ms doubled five times: the next wait would be 3.2 s, half of it by chance
+	var at [tries]time.Time
+	for i := range at {
+		at[i] = <-up
+	}
+	if first, last := at[1].Sub(at[0]), at[tries-1].Sub(at[tries-2]); last < 4*first {
+		t.Errorf("the first wait is %v, the last %v", first, last)
+	}
+	mu.Lock()
+	down = false
+	mu.Unlock()
+	eventually(t, "a stream", func() bool { _, streams, _ := plane.Counts(); return streams == 1 })
+	began := time.Now()
+	plane.Cut(false)
+	eventually(t, "another stream", func() bool { _, streams, _ := plane.Counts(); return streams == 2 })
+	const slack = 100 * time.Millisecond
+	if took := time.Since(began); took > testGrace/2+slack {
+		t.Errorf("asked again after %v", took)
+	}
+}
--- a/internal/xds/follow.go
+++ b/internal/xds/follow.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"errors"
+	"net"
 	"time"
 
 	discovery "github.com/envoyproxy/go-control-plane/envoy/service/discovery/v3"
@@ -14,7 +16,6 @@
 	"google.golang.org/protobuf/proto"
 
 	"hollymast/control"
-	"hollymast/internal/backoff"
 )
 
 // Source is a control plane, and what is done with what it tells. All of its functions are called by one goroutine.
@@ -25,9 +26,12 @@
 	Kind    Kind
 	Seed    uint64 // of the waits
 	Now     func() control.Micros
-	Refresh <-chan chan struct{}     // what has come is taken in before each of these is closed; may be nil
-	Changed func(now control.Micros) // something was taken in
-	Note    func(text string)        // for the log
+	Refresh <-chan chan struct{} // what has come is taken in before each of these is closed; may be nil
+	// Grace is within which a change of the list must be heeded; 0: this is no list.
+	Grace   time.Duration
+	Dial    func(ctx context.Context, address string) (net.Conn, error) // nil: over TCP
+	Changed func(now control.Micros)                                    // something was taken in
+	Note    func(text string)                                           // for the log
 }
 
 // Protocol is the client's side of one protocol, free of I/O.
@@ -94,7 +98,11 @@
 	if creds == nil {
 		creds = insecure.NewCredentials()
 	}
-	conn, err := grpc.NewClient("passthrough:///"+s.Address, grpc.WithTransportCredentials(creds),
+	d := &dialer{dial: s.Dial}
+	if d.dial == nil {
+		d.dial = dialTCP
+	}
+	conn, err := grpc.NewClient("passthrough:///"+s.Address, grpc.WithTransportCredentials(creds), grpc.WithContextDialer(d.connect),
 		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(largest)),
 		// A control plane that is silent without a word is found out within this time.
 		grpc.WithKeepaliveParams(keepalive.ClientParameters{Time: 10 * time.Second, Timeout: 3 * time.Second, PermitWithoutStream: true}))
@@ -103,20 +111,35 @@
 	}
 	defer conn.Close()
 	waits := NewBackoff(s.Seed)
+	var hurryUntil time.Time
 	for ctx.Err() == nil {
-		err := s.one(ctx, conn, f, waits)
+		conn.ResetConnectBackoff() // the waits between tries are ours
+		answered := false
+		asked, err := s.one(ctx, conn, d, f, func() { answered = true; waits.Well() })
 		if ctx.Err() != nil {
 			break
 		}
 		f.Broken(s.Now())
 		s.tell(f)
-		wait := waits.Next()
+		if asked && !answered {
+			hurryUntil = time.Now().Add(s.Grace)
+		}
+		wait := waits.NextWithin(s.longestWait(hurryUntil))
 		s.Note("the stream from " + s.Address + " ended (" + err.Error() + "); the next try is in " + wait.Round(time.Millisecond).String())
 		s.pause(ctx, f, wait)
 	}
 	return nil
 }
 
+// longestWait bounds the next wait. A stream that was asked and ended with no answer is asked for again within the grace: what it
+// would have told may hold since.
+func (s Source) longestWait(hurryUntil time.Time) time.Duration {
+	if time.Now().Before(hurryUntil) {
+		return s.Grace / 4
+	}
+	return longestWait
+}
+
 // pause waits, and goes on answering refreshes and the follower's own alarms.
 func (s Source) pause(ctx context.Context, f Protocol, wait time.Duration) {
 	end := time.NewTimer(wait)
@@ -156,8 +179,8 @@
 	}
 }
 
-// one is one stream's life.
-func (s Source) one(ctx context.Context, conn *grpc.ClientConn, f Protocol, waits *backoff.Backoff) error {
+// one is one stream's life. Asked tells that the first requests were sent.
+func (s Source) one(ctx context.Context, conn *grpc.ClientConn, d *dialer, f Protocol, answered func()) (asked bool, err error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	client := discovery.NewAggregatedDiscoveryServiceClient(conn)
@@ -166,31 +189,31 @@
 	case s.Kind == LoadReporting:
 		c, err := lrs.NewLoadReportingServiceClient(conn).StreamLoadStats(ctx)
 		if err != nil {
-			return err
+			return false, err
 		}
 		st = reporting{c}
 	case s.Kind == SecretDiscovery:
 		c, err := secrets.NewSecretDiscoveryServiceClient(conn).StreamSecrets(ctx)
 		if err != nil {
-			return err
+			return false, err
 		}
 		st = sotw{c}
 	case s.Delta:
 		c, err := client.DeltaAggregatedResources(ctx)
 		if err != nil {
-			return err
+			return false, err
 		}
 		st = delta{c}
 	default:
 		c, err := client.StreamAggregatedResources(ctx)
 		if err != nil {
-			return err
+			return false, err
 		}
 		st = sotw{c}
 	}
 	for _, m := range f.Connected(s.Now()) {
 		if err := st.send(m); err != nil {
-			return err
+			return false, err
 		}
 	}
 	heard := make(chan proto.Message, 64)
@@ -213,7 +236,7 @@
 		}
 	}()
 	take := func(m proto.Message) error {
-		waits.Well()
+		answered()
 		for _, answer := range f.Heard(s.Now(), m) {
 			if err := st.send(answer); err != nil {
 				return err
@@ -233,17 +256,17 @@
 		select {
 		case m, open := <-heard:
 			if !open {
-				return <-ended
+				return true, <-ended
 			}
 			if err := take(m); err != nil {
-				return err
+				return true, err
 			}
 			alarm.Reset(s.untilTick(f))
 		case <-alarm.C:
 			if sp, speaks := f.(speaker); speaks {
 				for _, m := range sp.Speak(s.Now()) {
 					if err := st.send(m); err != nil {
-						return err
+						return true, err
 					}
 				}
 				sp.Spoken()
@@ -251,22 +274,67 @@
 			alarm.Reset(s.untilTick(f))
 			s.tell(f)
 		case looked := <-s.Refresh:
-			for waiting := true; waiting; {
-				select {
-				case m, open := <-heard:
-					if !open {
-						close(looked)
-						return <-ended
-					}
-					if err := take(m); err != nil {
-						close(looked)
-						return err
-					}
-				default:
-					waiting = false
-				}
-			}
+			err := s.catchUp(d, heard, take)
 			close(looked)
+			switch {
+			case errors.Is(err, errClosed):
+				return true, <-ended
+			case err != nil:
+				return true, err
+			}
+		}
+	}
+}
+
+// errClosed tells that a stream gave its last message.
+var errClosed = errors.New("the stream has ended")
+
+// settled is how long after the last byte was read its message may take to come out of the stream: some goroutines' turns.
+const settled = 2 * time.Millisecond
+
+// catchUp takes in all that has come, also what is not read from the connection yet, for a quarter of the grace at most.
+func (s Source) catchUp(d *dialer, heard <-chan proto.Message, take func(proto.Message) error) error {
+	end := time.Now().Add(s.Grace / 4)
+	for {
+		var wait time.Duration
+		if !d.settled() && time.Now().Before(end) {
+			wait = settled
+		}
+		m, err := next(heard, wait)
+		switch {
+		case err != nil:
+			return err
+		case m != nil:
+			if err := take(m); err != nil {
+				return err
+			}
+		case wait == 0:
+			return nil
 		}
 	}
 }
+
+// next gives the next message, or nil where none comes within a time.
+func next(heard <-chan proto.Message, wait time.Duration) (proto.Message, error) {
+	select { // what is there comes before the time
+	case m, open := <-heard:
+		return m, closedUnless(open)
+	default:
+	}
+	if wait == 0 {
+		return nil, nil
+	}
+	select {
+	case m, open := <-heard:
+		return m, closedUnless(open)
+	case <-time.After(wait):
+		return nil, nil
+	}
+}
+
+func closedUnless(open bool) error {
+	if open {
+		return nil
+	}
+	return errClosed
+}
