--- a/cmd/hollymast/standstill_test.go
+++ b/cmd/hollymast/standstill_test.go
@@ -184,30 +184,38 @@
 	}
 }
 
-// TestAnswerDuringStopIsTaken guards against giving up an execution whose answer came while the process was stopped.
+// TestAnswerDuringStopIsTaken guards against giving up an execution whose answer came while the process was stopped, or the rest
+// of it.
 func TestAnswerDuringStopIsTaken(t *testing.T) {
-	server := platformtest.NewModelServer(t)
-	events := []board.Event{platformtest.Event(1, "s-0", server.Address(), "ready")}
-	plane := platformtest.NewBoard(t, "127.0.0.1:0", nil, events...)
-	router := startRouter(t, platformtest.Configuration(plane.Address(), drainGrace, events...))
-	client := router.waitWell()
-	client.Call(1, 1) // its copy stands from now on
-	if !client.Answer() {
-		t.Fatal("a request was not served")
-	}
-	server.Hold()
-	client.Call(2, 1)
-	for len(server.Received()) < 2 {
-		time.Sleep(time.Millisecond)
-	}
-	router.stop()
-	server.Release()
-	time.Sleep(1600 * time.Millisecond) // beyond the time that such an execution is given
-	router.goOn()
-	if !client.Answer() {
-		t.Error("a request was not served")
-	}
-	if n := len(server.Received()); n != 2 {
-		t.Errorf("%d executions for 2 requests", n)
+	for name, hold := range map[string]func(*platformtest.ModelServer){"whole": (*platformtest.ModelServer).Hold,
+		"its second half": (*platformtest.ModelServer).HoldHalf} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			server := platformtest.NewModelServer(t)
+			events := []board.Event{platformtest.Event(1, "s-0", server.Address(), "ready")}
+			plane := platformtest.NewBoard(t, "127.0.0.1:0", nil, events...)
+			router := startRouter(t, platformtest.Configuration(plane.Address(), drainGrace, events...))
+			client := router.waitWell()
+			client.Call(1, 1) // its copy stands from now on
+			if !client.Answer() {
+				t.Fatal("a request was not served")
+			}
+			hold(server)
+			client.Call(2, 1)
+			for len(server.Received()) < 2 {
+				time.Sleep(time.Millisecond)
+			}
+			time.Sleep(20 * time.Millisecond) // what has come of the answer is read
+			router.stop()
+			server.Release()
+			time.Sleep(1600 * time.Millisecond) // beyond the time that such an execution and an answer in pieces are given
+			router.goOn()
+			if !client.Answer() {
+				t.Error("a request was not served")
+			}
+			if n := len(server.Received()); n != 2 {
+				t.Errorf("%d executions for 2 requests", n)
+			}
+		})
 	}
 }
--- a/internal/platform/servers.go
+++ b/internal/platform/servers.go
@@ -268,10 +268,11 @@
 	}
 	l.box.up(conn)
 	p.box.Tell(func(control.Micros) { l.up = true })
-	in := bufio.NewReaderSize(conn, 2<<10)
+	reader := &looking{conn: conn}
+	in := bufio.NewReaderSize(reader, 2<<10)
 	for {
-		conn.SetReadDeadline(time.Time{})
-		a, err := binframe.Read(in, func() { conn.SetReadDeadline(time.Now().Add(stallMost)) })
+		reader.until(time.Time{})
+		a, err := binframe.Read(in, func() { reader.until(time.Now().Add(stallMost)) })
 		if err != nil {
 			end = control.Reset
 			if why := spoilt(err); why != "" {
--- a/internal/platformtest/platformtest.go
+++ b/internal/platformtest/platformtest.go
@@ -207,7 +207,7 @@
 	mu       sync.Mutex
 	received []Received
 	held     []func() // answers
-	holding  bool
+	hold     func(frame []byte) (now []byte)
 }
 
 // NewModelServer starts one that ends with the test.
@@ -233,17 +233,24 @@
 }
 
 // Hold has answers wait until Release.
-func (s *ModelServer) Hold() {
+func (s *ModelServer) Hold() { s.holdBack(func([]byte) []byte { return nil }) }
+
+// HoldHalf has the second half of answers wait until Release.
+func (s *ModelServer) HoldHalf() {
+	s.holdBack(func(frame []byte) []byte { return frame[:len(frame)/2] })
+}
+
+func (s *ModelServer) holdBack(hold func(frame []byte) (now []byte)) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.holding = true
+	s.hold = hold
 }
 
-// Release gives all answers that wait.
+// Release gives all that waits.
 func (s *ModelServer) Release() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.holding = false
+	s.hold = nil
 	for _, answer := range s.held {
 		answer()
 	}
@@ -253,8 +260,10 @@
 func (s *ModelServer) answer(c net.Conn, frame []byte) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.holding {
-		s.held = append(s.held, func() { c.Write(frame) })
+	if s.hold != nil {
+		now := s.hold(frame)
+		c.Write(now)
+		s.held = append(s.held, func() { c.Write(frame[len(now):]) })
 		return
 	}
 	c.Write(frame)
