Tests: a reload and a drain cross in a stopped router; a uid returns elsewhere; the story is kept

TestReloadIsFollowedByADrain: the old address tells a drain as its last, SIGHUP comes, and the new address takes its time to answer, all while the process is stopped.

--- a/cmd/hollymast/standstill_test.go
+++ b/cmd/hollymast/standstill_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"encoding/json"
 	"fmt"
+	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -20,6 +21,7 @@
 type routerProcess struct {
 	t       *testing.T
 	command *exec.Cmd
+	file    string // its configuration
 	address string
 }
 
@@ -39,7 +41,7 @@
 	if err := command.Start(); err != nil {
 		t.Fatal(err)
 	}
-	r := &routerProcess{t: t, command: command}
+	r := &routerProcess{t: t, command: command, file: name}
 	lines := bufio.NewScanner(log)
 	for r.address == "" {
 		if !lines.Scan() {
@@ -68,9 +70,7 @@
 // stop stops the process and returns once the kernel says that it stands.
 func (r *routerProcess) stop() {
 	r.t.Helper()
-	if err := r.command.Process.Signal(syscall.SIGSTOP); err != nil {
-		r.t.Fatal(err)
-	}
+	r.signal(syscall.SIGSTOP)
 	for range 1000 {
 		text, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", r.command.Process.Pid))
 		if err != nil {
@@ -86,7 +86,20 @@
 
 func (r *routerProcess) goOn() {
 	r.t.Helper()
-	if err := r.command.Process.Signal(syscall.SIGCONT); err != nil {
+	r.signal(syscall.SIGCONT)
+}
+
+func (r *routerProcess) signal(s syscall.Signal) {
+	r.t.Helper()
+	if err := r.command.Process.Signal(s); err != nil {
+		r.t.Fatal(err)
+	}
+}
+
+// configure replaces its configuration.
+func (r *routerProcess) configure(text string) {
+	r.t.Helper()
+	if err := os.WriteFile(r.file, []byte(text), 0o600); err != nil {
 		r.t.Fatal(err)
 	}
 }
@@ -219,3 +232,43 @@
 		})
 	}
 }
+
+// TestReloadIsFollowedByADrain guards against events that are missed between two addresses of the notice board: a drain is told
+// by the old one as the last that it tells, the router is stopped before it reads it, and the new one takes its time to answer.
+func TestReloadIsFollowedByADrain(t *testing.T) {
+	drains, stays := platformtest.NewModelServer(t), platformtest.NewModelServer(t)
+	events := []board.Event{platformtest.Event(1, "s-0", drains.Address(), "ready"), platformtest.Event(2, "s-1", stays.Address(), "ready")}
+	old := platformtest.NewBoard(t, "127.0.0.1:0", nil, events...)
+	answer := make(chan bool)
+	fresh := platformtest.NewBoard(t, "127.0.0.1:0", func(net.Conn, int) bool { <-answer; return false }, events...)
+	router := startRouter(t, platformtest.Configuration(old.Address(), drainGrace, events...))
+	client := router.waitWell()
+	const functions = 12
+	callAll := func(first uint64) {
+		for f := range uint64(functions) {
+			client.Call(first+f, f+1)
+		}
+		for range functions {
+			if !client.Answer() {
+				t.Error("a request was not served")
+			}
+		}
+	}
+	callAll(1)
+	if len(drains.Received()) == 0 {
+		t.Fatal("the server that is to drain was never used")
+	}
+	router.stop()
+	told := old.Tell(platformtest.Event(3, "s-0", drains.Address(), "draining")) // the last that the old address tells
+	fresh.Tell(platformtest.Event(3, "s-0", drains.Address(), "draining"))
+	router.configure(platformtest.Configuration(fresh.Address(), drainGrace, events...))
+	router.signal(syscall.SIGHUP)
+	time.Sleep(drainGrace + drainSlack)
+	router.goOn()
+	callAll(101)
+	close(answer)
+	checkNoneAfter(t, drains, told, drainGrace)
+	if len(fresh.Asked()) == 0 {
+		t.Error("the new address was not asked")
+	}
+}
--- a/internal/explore/steps.go
+++ b/internal/explore/steps.go
@@ -522,7 +522,7 @@
 	case Freeze:
 		text = fmt.Sprintf("router %d stands still", of)
 	case Wake:
-		text = fmt.Sprintf("router %d goes on, its connections before its turn", of)
+		text = fmt.Sprintf("router %d goes on, and hears what waits in any order", of)
 	}
 	return fmt.Sprintf("%7.3f s  %s", float64(w.Now-start)/1e6, text)
 }
--- a/internal/platform/drain_test.go
+++ b/internal/platform/drain_test.go
@@ -247,3 +247,34 @@
 		t.Errorf("%d bytes were written after the grace", n)
 	}
 }
+
+// A uid that returns at another address is another life: what is sent goes there, on connections of its own, and an address that
+// another server has by then gets nothing meant for the old one.
+func TestUIDReturnsElsewhere(t *testing.T) {
+	first, second := platformtest.NewModelServer(t), platformtest.NewModelServer(t)
+	events := []board.Event{platformtest.Event(1, "s-0", first.Address(), "ready")}
+	plane := platformtest.NewBoard(t, "127.0.0.1:0", nil, events...)
+	r := startTold(t, platformtest.Configuration(plane.Address(), time.Second, events...))
+	until(t, "the router is well", r.ready.Load)
+	client := platformtest.Dial(t, r.Address())
+	client.Call(1, 1)
+	if !client.Answer() || len(first.Received()) == 0 {
+		t.Fatal("the first life was not used")
+	}
+	before := len(first.Received())
+	plane.Tell(platformtest.Event(2, "s-0", "", "gone"))
+	plane.Tell(platformtest.Event(3, "s-0", second.Address(), "ready")) // in one batch with its end
+	plane.Tell(platformtest.Event(4, "s-1", first.Address(), "draining"))
+	until(t, "the list is read", func() bool { return r.follower.Last() == 4 })
+	for ref := range uint64(10) {
+		client.Call(ref+2, ref+1)
+	}
+	for range 10 {
+		if !client.Answer() {
+			t.Error("a request was not served")
+		}
+	}
+	if n := len(first.Received()) - before; n > 0 {
+		t.Errorf("%d frames went to the old address", n)
+	}
+}
