--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -256,7 +256,7 @@
 func (p *Platform) pace() {
 	now := p.now()
 	if p.due > 0 && attempt.Stopped(now-p.due, p.told.grace) {
-		p.count("the router was stopped")
+		p.count("the router stood still")
 		time.Sleep(answersRead)
 		return
 	}
