--- a/cmd/hollymast/standstill_test.go
+++ b/cmd/hollymast/standstill_test.go
@@ -272,3 +272,78 @@
 		t.Error("the new address was not asked")
 	}
 }
+
+// runInPieces lets a process run for a part of each period only, as on a share of a core, until it is told to end.
+func (r *routerProcess) runInPieces(runs, period time.Duration) (end func()) {
+	done, ended := make(chan struct{}), make(chan struct{})
+	go func() {
+		defer close(ended)
+		for {
+			r.command.Process.Signal(syscall.SIGSTOP)
+			time.Sleep(period - runs)
+			r.command.Process.Signal(syscall.SIGCONT)
+			select {
+			case <-time.After(runs):
+			case <-done:
+				return
+			}
+		}
+	}()
+	return func() {
+		close(done)
+		<-ended
+	}
+}
+
+// TestQuarterOfACoreKeepsShortGrace guards against choices that grow old on a small share of a core while clients flood the
+// router: one server after another drains.
+func TestQuarterOfACoreKeepsShortGrace(t *testing.T) {
+	const (
+		grace     = 250 * time.Millisecond
+		servers   = 4
+		functions = 16
+		flooders  = 4
+	)
+	fakes := make([]*platformtest.ModelServer, servers)
+	var events []board.Event
+	for i := range fakes {
+		fakes[i] = platformtest.NewModelServer(t)
+		events = append(events, platformtest.Event(uint64(i+1), fmt.Sprint("s-", i), fakes[i].Address(), "ready"))
+	}
+	plane := platformtest.NewBoard(t, "127.0.0.1:0", nil, events...)
+	router := startRouter(t, platformtest.Configuration(plane.Address(), grace, events...))
+	client := router.waitWell()
+	served, ref := 0, uint64(0)
+	callAll := func() {
+		for f := range uint64(functions) {
+			ref++
+			client.Call(ref, f+1)
+		}
+		for range functions {
+			if client.Answer() {
+				served++
+			}
+		}
+	}
+	callAll()
+	for range flooders {
+		flood := platformtest.Dial(t, router.address)
+		t.Cleanup(flood.Flood())
+	}
+	end := router.runInPieces(25*time.Millisecond, 100*time.Millisecond)
+	told := make([]time.Time, servers-1)
+	for i := range told {
+		callAll()
+		told[i] = plane.Tell(platformtest.Event(uint64(servers+i+1), fmt.Sprint("s-", i), fakes[i].Address(), "draining"))
+		for time.Since(told[i]) < 2*grace {
+			callAll()
+		}
+	}
+	end()
+	for i, at := range told {
+		checkNoneAfter(t, fakes[i], at, grace)
+	}
+	if served < int(ref)*9/10 {
+		t.Errorf("%d of %d requests were served", served, ref)
+	}
+}
--- a/internal/platformtest/platformtest.go
+++ b/internal/platformtest/platformtest.go
@@ -373,3 +373,24 @@
 	}
 	return v[3].([]any)[0] == true
 }
+
+// Flood sends requests of a class that doesn't exist at full speed, and reads what comes, until it is told to end.
+func (c *Client) Flood() (end func()) {
+	var both sync.WaitGroup
+	both.Go(func() { io.Copy(io.Discard, c.conn) })
+	both.Go(func() {
+		for number := 1; ; number++ {
+			b, err := msgpack.Marshal([]any{0, number, "unheard", []any{map[string]string{}, []byte{}}})
+			if err != nil {
+				return
+			}
+			if _, err := c.conn.Write(b); err != nil {
+				return
+			}
+		}
+	})
+	return func() {
+		c.conn.Close()
+		both.Wait()
+	}
+}
