Tests: orders to load after a stop, a silent notice board at the start, a dial that outlasts the grace

TestStartWithASilentBoard and TestDialCrossesTheGrace: serving goes on without an answer, and a connection that comes up late writes nothing old (the latter held before, by the age of the choice).

--- a/cmd/hollymast/standstill_test.go
+++ b/cmd/hollymast/standstill_test.go
@@ -149,7 +149,7 @@
 			drains, stays := platformtest.NewModelServer(t), platformtest.NewModelServer(t)
 			events := []board.Event{platformtest.Event(1, "s-0", drains.Address(), "ready"), platformtest.Event(2, "s-1", stays.Address(), "ready")}
 			plane := platformtest.NewBoard(t, "127.0.0.1:0", nil, events...)
-			router := startRouter(t, platformtest.Configuration(plane.Address(), drainGrace, events...))
+			router := startRouter(t, platformtest.Deployment{Grace: drainGrace}.Configuration(plane.Address(), events...))
 			client := router.waitWell()
 			ref := uint64(0)
 			callAll := func(client *platformtest.Client) {
@@ -207,7 +207,7 @@
 			server := platformtest.NewModelServer(t)
 			events := []board.Event{platformtest.Event(1, "s-0", server.Address(), "ready")}
 			plane := platformtest.NewBoard(t, "127.0.0.1:0", nil, events...)
-			router := startRouter(t, platformtest.Configuration(plane.Address(), drainGrace, events...))
+			router := startRouter(t, platformtest.Deployment{Grace: drainGrace}.Configuration(plane.Address(), events...))
 			client := router.waitWell()
 			client.Call(1, 1) // its copy stands from now on
 			if !client.Answer() {
@@ -241,7 +241,7 @@
 	old := platformtest.NewBoard(t, "127.0.0.1:0", nil, events...)
 	answer := make(chan bool)
 	fresh := platformtest.NewBoard(t, "127.0.0.1:0", func(net.Conn, int) bool { <-answer; return false }, events...)
-	router := startRouter(t, platformtest.Configuration(old.Address(), drainGrace, events...))
+	router := startRouter(t, platformtest.Deployment{Grace: drainGrace}.Configuration(old.Address(), events...))
 	client := router.waitWell()
 	const functions = 12
 	callAll := func(first uint64) {
@@ -261,7 +261,7 @@
 	router.stop()
 	told := old.Tell(platformtest.Event(3, "s-0", drains.Address(), "draining")) // the last that the old address tells
 	fresh.Tell(platformtest.Event(3, "s-0", drains.Address(), "draining"))
-	router.configure(platformtest.Configuration(fresh.Address(), drainGrace, events...))
+	router.configure(platformtest.Deployment{Grace: drainGrace}.Configuration(fresh.Address(), events...))
 	router.signal(syscall.SIGHUP)
 	time.Sleep(drainGrace + drainSlack)
 	router.goOn()
@@ -311,7 +311,7 @@
 		events = append(events, platformtest.Event(uint64(i+1), fmt.Sprint("s-", i), fakes[i].Address(), "ready"))
 	}
 	plane := platformtest.NewBoard(t, "127.0.0.1:0", nil, events...)
-	router := startRouter(t, platformtest.Configuration(plane.Address(), grace, events...))
+	router := startRouter(t, platformtest.Deployment{Grace: grace}.Configuration(plane.Address(), events...))
 	client := router.waitWell()
 	served, ref := 0, uint64(0)
 	callAll := func() {
@@ -347,3 +347,39 @@
 		t.Errorf("%d of %d requests were served", served, ref)
 	}
 }
+
+// TestStoppedRouterOrdersNothingAfterTheGrace is TestStoppedRouterKeepsDrain for orders to load: what is asked for after the stop
+// stands nowhere yet.
+func TestStoppedRouterOrdersNothingAfterTheGrace(t *testing.T) {
+	const functions = 24 // their orders go to both servers
+	drains, stays := platformtest.NewModelServer(t), platformtest.NewModelServer(t)
+	events := []board.Event{platformtest.Event(1, "s-0", drains.Address(), "ready"), platformtest.Event(2, "s-1", stays.Address(), "ready")}
+	plane := platformtest.NewBoard(t, "127.0.0.1:0", nil, events...)
+	deployment := platformtest.Deployment{Grace: drainGrace, OrdersOnly: true}
+	router := startRouter(t, deployment.Configuration(plane.Address(), events...))
+	client := router.waitWell()
+	callAll := func(first uint64) {
+		for f := range uint64(functions) {
+			client.Call(first+f, first+f)
+		}
+	}
+	answerAll := func() {
+		for range functions {
+			if !client.Answer() {
+				t.Error("a request was not served")
+			}
+		}
+	}
+	callAll(1)
+	answerAll()
+	if drains.Orders() == 0 || stays.Orders() == 0 {
+		t.Fatalf("%d and %d orders: both servers should get some", drains.Orders(), stays.Orders())
+	}
+	router.stop()
+	told := plane.Tell(platformtest.Event(3, "s-0", drains.Address(), "draining"))
+	callAll(101)
+	time.Sleep(1600 * time.Millisecond)
+	router.goOn()
+	answerAll()
+	checkNoneAfter(t, drains, told, drainGrace)
+}
--- a/internal/platform/drain_test.go
+++ b/internal/platform/drain_test.go
@@ -128,7 +128,7 @@
 func TestListComesFirstInItsTurn(t *testing.T) {
 	server := platformtest.NewModelServer(t)
 	plane := platformtest.NewBoard(t, "127.0.0.1:0", nil, platformtest.Event(1, "s-0", server.Address(), "ready"))
-	r := startTold(t, platformtest.Configuration(plane.Address(), time.Second, platformtest.Event(1, "s-0", server.Address(), "ready")))
+	r := startTold(t, platformtest.Deployment{Grace: time.Second}.Configuration(plane.Address(), platformtest.Event(1, "s-0", server.Address(), "ready")))
 	until(t, "the router is well", r.ready.Load)
 	state := make(chan control.ServerState, 1)
 	r.box.Tell(func(control.Micros) { // a turn that lasts
@@ -152,7 +152,7 @@
 	plane := platformtest.NewBoard(t, "127.0.0.1:0", func(net.Conn, int) bool { <-answer; return false }, known...)
 	told := plane.Tell(platformtest.Event(2, "s-0", drains.Address(), "draining"))
 	plane.Tell(platformtest.Event(3, "s-1", stays.Address(), "ready"))
-	r := startTold(t, platformtest.Configuration(plane.Address(), grace, known...))
+	r := startTold(t, platformtest.Deployment{Grace: grace}.Configuration(plane.Address(), known...))
 	until(t, "the board is asked", func() bool { return len(plane.Asked()) == 1 })
 	client := platformtest.Dial(t, r.Address())
 	client.Call(1, 1)
@@ -254,7 +254,7 @@
 	first, second := platformtest.NewModelServer(t), platformtest.NewModelServer(t)
 	events := []board.Event{platformtest.Event(1, "s-0", first.Address(), "ready")}
 	plane := platformtest.NewBoard(t, "127.0.0.1:0", nil, events...)
-	r := startTold(t, platformtest.Configuration(plane.Address(), time.Second, events...))
+	r := startTold(t, platformtest.Deployment{Grace: time.Second}.Configuration(plane.Address(), events...))
 	until(t, "the router is well", r.ready.Load)
 	client := platformtest.Dial(t, r.Address())
 	client.Call(1, 1)
@@ -278,3 +278,53 @@
 		t.Errorf("%d frames went to the old address", n)
 	}
 }
+
+// A notice board that accepts and says nothing keeps no router from being well: it had a quarter of the grace to answer.
+func TestStartWithASilentBoard(t *testing.T) {
+	const grace = 200 * time.Millisecond
+	silent := make(chan bool)
+	plane := platformtest.NewBoard(t, "127.0.0.1:0", func(net.Conn, int) bool { <-silent; return true })
+	t.Cleanup(func() { close(silent) })
+	server := platformtest.NewModelServer(t)
+	r := startTold(t, platformtest.Deployment{Grace: grace}.Configuration(plane.Address(), platformtest.Event(1, "s-0", server.Address(), "ready")))
+	until(t, "the router is well", r.ready.Load)
+	client := platformtest.Dial(t, r.Address())
+	client.Call(1, 1)
+	if !client.Answer() {
+		t.Error("the request was not served")
+	}
+}
+
+// A connection that comes up when the grace has run writes nothing that was chosen before.
+func TestDialCrossesTheGrace(t *testing.T) {
+	p := idlePlatform(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	p.listed(p.now(), []fleet.Entry{{Name: "s-0", Address: l.Addr().String(), Zone: "east", State: control.Ready}})
+	p.catchUp()
+	p.turn(p.now(), nil)
+	s := p.sending(fleet.ID("s-0"), 1_000_000)
+	s.link = p.newLink(p.now(), p.poolOf(s.to)) // it dials: nothing is up yet
+	defer s.link.undial()
+	s.link.box.post(parcel{data: []byte("late"), begin: s.begin, wrote: s.wrote})
+	time.Sleep(span(attempt.Fresh(p.told.grace)) + time.Millisecond)
+	conn, err := net.Dial("tcp", l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	theirs, err := l.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer theirs.Close()
+	s.link.box.up(conn)
+	until(t, "it is withdrawn", s.link.box.drained)
+	theirs.SetReadDeadline(time.Now().Add(20 * time.Millisecond))
+	if n, _ := theirs.Read(make([]byte, 8)); n > 0 || s.reached() == attempt.Writing {
+		t.Errorf("%d bytes were written, stage %d", n, s.reached())
+	}
+}
--- a/internal/platformtest/platformtest.go
+++ b/internal/platformtest/platformtest.go
@@ -20,20 +20,29 @@
 	"hollymast/internal/board"
 )
 
-// Settings are start settings of a deployment with a restartable class, "again", in which jobs load what they need and orders
-// may be given.
-func Settings(grace time.Duration) string {
+// Deployment is what tests vary of a router's start settings.
+type Deployment struct {
+	Grace      time.Duration // within which nothing new may go to a server that was told to drain
+	OrdersOnly bool          // model servers load what they are ordered to, and nothing for a request
+}
+
+// settings are start settings with one restartable class, "again".
+func (d Deployment) settings() string {
+	absent := "load"
+	if d.OrdersOnly {
+		absent = "miss"
+	}
 	return fmt.Sprintf(`{"balancers": 1, "tick": 1000, "zones": ["east"],
 	"ceilings": {"cancel": true, "conn_idle": 15000000, "connect_timeout": 250000, "max_retry_after": 2000000, "retry_after": true,
 		"streams_per_conn": 100, "try_limit": 3},
 	"classes": [{"name": "again", "aim": 8000000, "hard_limit": 9000000, "importance": 1, "semantics": "pure", "window": 0}],
 	"contract": {"stop_sending_within": %d}, "customers": [{"name": "acme", "allowance_per_s": 1000}],
-	"specifics": {"when_absent": "load", "linger_idle": 60000000, "order_limit": 4000000, "kind_memory_mb": [1000], "load_control": true}}`,
-		grace.Microseconds())
+	"specifics": {"when_absent": %q, "linger_idle": 60000000, "order_limit": 4000000, "kind_memory_mb": [1000], "load_control": true}}`,
+		d.Grace.Microseconds(), absent)
 }
 
 // Configuration is a router's configuration file. The events are those that it knows at its start.
-func Configuration(boardAddress string, grace time.Duration, events ...board.Event) string {
+func (d Deployment) Configuration(boardAddress string, events ...board.Event) string {
 	known := board.Known{Notices: events}
 	if len(events) > 0 {
 		known.Rev = events[len(events)-1].Rev
@@ -43,7 +52,7 @@
 		panic(err) // plain values
 	}
 	return fmt.Sprintf(`{"name": "n0", "listen": "127.0.0.1:0", "seed": "8c1f30d27a5be964", "board": %q,
-		"limits": {"cores": 1, "memory_mb": 64, "sockets": 256}, "known": %s, "settings": %s}`, boardAddress, text, Settings(grace))
+		"limits": {"cores": 1, "memory_mb": 64, "sockets": 256}, "known": %s, "settings": %s}`, boardAddress, text, d.settings())
 }
 
 // Event is one event of the notice board about one server. The first is the whole list.
@@ -394,3 +403,14 @@
 		both.Wait()
 	}
 }
+
+// Orders counts the orders to load that came so far.
+func (s *ModelServer) Orders() int {
+	n := 0
+	for _, frame := range s.Received() {
+		if frame.Code == Order {
+			n++
+		}
+	}
+	return n
+}
