Tests of the platform share their fake peers, pairs of connections and the start of a router

No assertion changes: what platform_test.go and standstill_test.go had each of their own (a router in its own process, an answer's frame, the two ends of a connection, a router that takes no turns) stands once in internal/platformtest or beside its first use.

--- a/cmd/hollymast/standstill_test.go
+++ b/cmd/hollymast/standstill_test.go
@@ -23,6 +23,8 @@
 	command *exec.Cmd
 	file    string // its configuration
 	address string
+	ended   chan struct{} // closed once it has ended
+	err     error         // how; read after that
 }
 
 // startRouter starts the router with a configuration; it is killed at the test's end.
@@ -41,7 +43,7 @@
 	if err := command.Start(); err != nil {
 		t.Fatal(err)
 	}
-	r := &routerProcess{t: t, command: command, file: name}
+	r := &routerProcess{t: t, command: command, file: name, ended: make(chan struct{})}
 	lines := bufio.NewScanner(log)
 	for r.address == "" {
 		if !lines.Scan() {
@@ -52,17 +54,16 @@
 			r.address = line.Listen
 		}
 	}
-	drained := make(chan struct{})
 	go func() {
-		defer close(drained)
-		for lines.Scan() {
+		defer close(r.ended)
+		for lines.Scan() { // its log is read to the end
 		}
+		r.err = command.Wait()
 	}()
 	t.Cleanup(func() {
 		command.Process.Signal(syscall.SIGCONT)
 		command.Process.Kill()
-		<-drained
-		command.Wait()
+		<-r.ended
 	})
 	return r
 }
--- a/internal/platform/crossing_test.go
+++ b/internal/platform/crossing_test.go
@@ -20,6 +20,7 @@
 
 	"hollymast/control"
 	"hollymast/internal/fleet"
+	"hollymast/internal/platformtest"
 )
 
 // Each test here forces two events to cross, on real sockets: it holds one until the other has happened.
@@ -39,21 +40,8 @@
 // crossing gives a client of a router, and the router's end of its connection.
 func (r *running) crossing(t *testing.T, hook func(c *caller, n int, err error)) (*caller, *client) {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer l.Close()
-	theirs, err := net.Dial("tcp", l.Addr().String())
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { theirs.Close() })
+	ours, theirs := platformtest.Connected(t)
 	theirs.SetDeadline(time.Now().Add(5 * time.Second))
-	ours, err := l.Accept()
-	if err != nil {
-		t.Fatal(err)
-	}
 	c := &caller{t, theirs, msgpack.NewDecoder(theirs)}
 	return c, r.welcome(&crossed{ours.(*net.TCPConn), func(n int, err error) { hook(c, n, err) }})
 }
--- a/internal/platform/drain_test.go
+++ b/internal/platform/drain_test.go
@@ -182,21 +182,7 @@
 
 // Where the connection has no room for the first byte, the check comes again when it has.
 func TestFullConnectionCrossesTheGrace(t *testing.T) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer l.Close()
-	ours, err := net.Dial("tcp", l.Addr().String())
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer ours.Close()
-	theirs, err := l.Accept()
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer theirs.Close()
+	ours, theirs := platformtest.Connected(t)
 	raw, err := ours.(syscall.Conn).SyscallConn()
 	if err != nil {
 		t.Fatal(err)
@@ -298,12 +284,8 @@
 // A connection that comes up when the grace has run writes nothing that was chosen before.
 func TestDialCrossesTheGrace(t *testing.T) {
 	p := idlePlatform(t)
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer l.Close()
-	p.listed(p.now(), []fleet.Entry{{Name: "s-0", Address: l.Addr().String(), Zone: "east", State: control.Ready}})
+	conn, theirs := platformtest.Connected(t)
+	p.listed(p.now(), []fleet.Entry{{Name: "s-0", Address: theirs.LocalAddr().String(), Zone: "east", State: control.Ready}})
 	p.catchUp()
 	p.turn(p.now(), nil)
 	s := p.sending(fleet.ID("s-0"), 1_000_000)
@@ -311,16 +293,6 @@
 	defer s.link.undial()
 	s.link.box.post(parcel{data: []byte("late"), begin: s.begin, wrote: s.wrote})
 	time.Sleep(span(attempt.Fresh(p.told.grace)) + time.Millisecond)
-	conn, err := net.Dial("tcp", l.Addr().String())
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer conn.Close()
-	theirs, err := l.Accept()
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer theirs.Close()
 	s.link.box.up(conn)
 	until(t, "it is withdrawn", s.link.box.drained)
 	theirs.SetReadDeadline(time.Now().Add(20 * time.Millisecond))
--- a/internal/platform/platform_test.go
+++ b/internal/platform/platform_test.go
@@ -6,7 +6,6 @@
 	"encoding/binary"
 	"encoding/json"
 	"fmt"
-	"hash/crc32"
 	"io"
 	"net"
 	"os"
@@ -22,6 +21,7 @@
 	"hollymast/control"
 	"hollymast/internal/board"
 	"hollymast/internal/fleet"
+	"hollymast/internal/platformtest"
 )
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
@@ -91,12 +91,7 @@
 }
 
 func (a asked) answer(code byte, id uint64, body string) []byte {
-	fields := "remark=resident"
-	b := append([]byte{108, code}, 0, byte(len(fields)))
-	b = binary.BigEndian.AppendUint32(b, uint32(len(body)))
-	b = binary.BigEndian.AppendUint64(b, id)
-	rest := fields + body
-	return binary.BigEndian.AppendUint32(append(b, rest...), crc32.ChecksumIEEE([]byte(rest)))
+	return platformtest.AnswerFrame(code, id, "remark=resident", []byte(body))
 }
 
 // worker is a stand-in for a model server: do is called for each execution.
@@ -527,17 +522,9 @@
 
 // How late an order may be written is told to the module, which counts its ration by it: as late as any choice is written.
 func TestLateIsAsLateAsAChoiceIsWritten(t *testing.T) {
-	told, err := parseTold([]byte(configuration("127.0.0.1:1")), Environment{})
-	if err != nil {
-		t.Fatal(err)
-	}
-	p, err := New(told, zerolog.Nop())
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer p.listener.Close()
-	if s := p.sending(1, told.orderLimit); s.until-s.chosen != told.Deployment.Late || told.Deployment.Late == 0 {
-		t.Errorf("written %d late, told %d", s.until-s.chosen, told.Deployment.Late)
+	p := idlePlatform(t)
+	if s := p.sending(1, p.told.orderLimit); s.until-s.chosen != p.told.Deployment.Late || p.told.Deployment.Late == 0 {
+		t.Errorf("written %d late, told %d", s.until-s.chosen, p.told.Deployment.Late)
 	}
 }
 
--- a/internal/platformtest/platformtest.go
+++ b/internal/platformtest/platformtest.go
@@ -95,6 +95,25 @@
 	return b
 }
 
+// Connected gives the two ends of a connection, as the one who dialled and the one who accepted have them.
+func Connected(t testing.TB) (dialled, accepted net.Conn) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	if dialled, err = net.Dial("tcp", l.Addr().String()); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { dialled.Close() })
+	if accepted, err = l.Accept(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { accepted.Close() })
+	return dialled, accepted
+}
+
 // acceptEach serves each connection until the test ends, and has all of them ended by then.
 func acceptEach(t testing.TB, l net.Listener, serve func(net.Conn)) {
 	var mu sync.Mutex
@@ -202,6 +221,7 @@
 const (
 	Execution = 65
 	Order     = 69
+	codeOK    = 97 // of their answers
 )
 
 // Received is one frame as a model server got it.
@@ -297,9 +317,10 @@
 		s.mu.Lock()
 		s.received = append(s.received, Received{head[1], at})
 		s.mu.Unlock()
+		id := binary.BigEndian.Uint64(head[8:])
 		switch head[1] {
 		case Execution:
-			s.answer(c, answerFrame(head[8:16], "remark=resident", rest[fields:len(rest)-4]))
+			s.answer(c, AnswerFrame(codeOK, id, "remark=resident", rest[fields:len(rest)-4]))
 		case Order:
 			pods := "1"
 			for field := range strings.SplitSeq(string(rest[:fields]), ",") {
@@ -307,17 +328,18 @@
 					pods = value
 				}
 			}
-			s.answer(c, answerFrame(head[8:16], "pods="+pods, nil))
+			s.answer(c, AnswerFrame(codeOK, id, "pods="+pods, nil))
 		}
 	}
 }
 
-func answerFrame(id []byte, fields string, body []byte) []byte {
-	const mark, ok = 108, 97
-	b := []byte{mark, ok}
+// AnswerFrame is a model server's answer.
+func AnswerFrame(code byte, id uint64, fields string, body []byte) []byte {
+	const mark = 108
+	b := []byte{mark, code}
 	b = binary.BigEndian.AppendUint16(b, uint16(len(fields)))
 	b = binary.BigEndian.AppendUint32(b, uint32(len(body)))
-	b = append(b, id...)
+	b = binary.BigEndian.AppendUint64(b, id)
 	rest := append([]byte(fields), body...)
 	return binary.BigEndian.AppendUint32(append(b, rest...), crc32.ChecksumIEEE(rest))
 }
