A heartbeat that tells nothing is missing ends the doubt in an event; the note tells why a watch ended

Found on rereading: a line that could not be used once, and came whole the second time, left its doubt behind, so that the next such line there would have been passed over at once (TestHeartbeatEndsDoubt fails without). A watch that another goroutine found ended was noted as 'use of closed network connection' (listen).

--- a/internal/board/board.go
+++ b/internal/board/board.go
@@ -103,7 +103,9 @@
 		if n > s.last {
 			return AskAgain, nil
 		}
-		s.level = s.level || n == s.last
+		if n == s.last {
+			s.level, s.doubted = true, false
+		}
 		return Nothing, nil
 	}
 	var e Event
--- a/internal/board/board_test.go
+++ b/internal/board/board_test.go
@@ -207,6 +207,19 @@
 	}
 }
 
+// What was doubted and then came whole is doubted anew the next time: it is not passed over at once.
+func TestHeartbeatEndsDoubt(t *testing.T) {
+	s := newState(t)
+	if _, err := s.Line([]byte("noise")); err == nil {
+		t.Error("taken")
+	}
+	s.Asked()
+	s.Line([]byte("1"))
+	if _, err := s.Line([]byte("noise")); err == nil {
+		t.Error("passed over at once")
+	}
+}
+
 // What was left out is asked for once more before it is believed that there is nothing.
 func TestGapAfterAskingIsAskedForOnce(t *testing.T) {
 	s := newState(t)
--- a/internal/board/follow.go
+++ b/internal/board/follow.go
@@ -191,8 +191,7 @@
 			return err
 		}
 		if err != nil {
-			f.leave(w)
-			return err
+			return f.leave(w, err)
 		}
 	}
 }
@@ -266,11 +265,13 @@
 
 func (f *Follower) tooLong() (skip bool) { return f.state.TooLong() }
 
-// leave closes a watch that has ended.
-func (f *Follower) leave(w *watch) {
+// leave closes a watch that has ended, and gives what ended it first.
+func (f *Follower) leave(w *watch, err error) error {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	err = w.end(err)
 	f.drop(w)
+	return err
 }
 
 // drop closes a watch. The lock is held.
