A first write that a signal interrupts is tried again at once; several events during a stop

Found on rereading (outbox.go, begin): an interrupted write was taken for a connection without room, and then waited for room that is there already: no event tells of it, so that it could have waited for its deadline of 2 s. Not seen; a write that does not wait is hardly interrupted, and no test forces it.

TestStoppedRouterKeepsDrain now tells three events during the stop: a drain, a server that comes, and its drain.

--- a/cmd/hollymast/standstill_test.go
+++ b/cmd/hollymast/standstill_test.go
@@ -182,6 +182,9 @@
 			}
 			router.stop()
 			told := plane.Tell(platformtest.Event(3, "s-0", drains.Address(), "draining"))
+			joins := platformtest.NewModelServer(t) // further events behind it, the last one another drain
+			plane.Tell(platformtest.Event(4, "s-2", joins.Address(), "ready"))
+			plane.Tell(platformtest.Event(5, "s-2", joins.Address(), "draining"))
 			callAll(others[0])
 			callAll(others[2])
 			time.Sleep(c.stopped)
@@ -194,6 +197,9 @@
 			callAll(client) // and what comes afterwards
 			answerAll(client)
 			checkNoneAfter(t, drains, told, drainGrace)
+			if n := len(joins.Received()); n > 0 && c.stopped > drainGrace+drainSlack {
+				t.Errorf("%d frames went to a server that came and drained during the stop", n)
+			}
 		})
 	}
 }
--- a/internal/platform/outbox.go
+++ b/internal/platform/outbox.go
@@ -173,9 +173,11 @@
 	err = raw.Write(func(fd uintptr) bool {
 		room := true
 		write := func() bool {
-			n, failed = syscall.Write(int(fd), p.data)
+			for n, failed = syscall.Write(int(fd), p.data); errors.Is(failed, syscall.EINTR); {
+				n, failed = syscall.Write(int(fd), p.data)
+			}
 			n = max(0, n)
-			if errors.Is(failed, syscall.EAGAIN) || errors.Is(failed, syscall.EINTR) {
+			if errors.Is(failed, syscall.EAGAIN) {
 				room, failed = false, nil
 			}
 			return n > 0
