Tests: a look that hangs is forced by a pipe; frames and waits are read in one place

Found on rereading: TestListThatGivesNoWord put a channel of its own into the gateway in the place of a source that hangs, so that it passed with the bound on further looks taken out. The fake servers read frames in one place, three copies of a loop that waits are one, and an unused field of a test is gone.

--- a/internal/gateway/drain_test.go
+++ b/internal/gateway/drain_test.go
@@ -1,6 +1,8 @@
 package gateway
 
 import (
+	"os"
+	"syscall"
 	"testing"
 	"time"
 
@@ -63,13 +65,21 @@
 	if word := f.ask("1", "forecast-1", time.Second); word != "finished" {
 		t.Fatalf("got %q", word)
 	}
-	looking := make(chan bool)
-	f.g.tell(func(control.Micros) {
-		f.g.looking = make(chan struct{}) // it never ends
-		f.g.listAsOf = 0
-		close(looking)
+	// From now on the list is a pipe, and a look lasts until somebody writes.
+	if err := os.Remove(f.list); err != nil {
+		t.Fatal(err)
+	}
+	if err := syscall.Mkfifo(f.list, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { // the look ends before the router does
+		writer, err := os.OpenFile(f.list, os.O_WRONLY, 0)
+		if err != nil {
+			t.Fatal(err)
+		}
+		os.Remove(f.list) // the next one finds none
+		writer.Close()
 	})
-	<-looking
 	began := time.Now()
 	for i := range 5 {
 		if word := f.ask(string(rune('a'+i)), "forecast-1", time.Second); word != "finished" {
--- a/internal/platform/crossing_test.go
+++ b/internal/platform/crossing_test.go
@@ -59,13 +59,7 @@
 // until waits for what another goroutine is about to do.
 func until(t *testing.T, what string, done func() bool) {
 	t.Helper()
-	for range 4000 {
-		if done() {
-			return
-		}
-		time.Sleep(time.Millisecond)
-	}
-	t.Fatalf("not within 4 s: %s", what)
+	platformtest.Until(t, what, done)
 }
 
 // A job that comes as its idle connection is about to end is read before, and served.
--- a/internal/platform/platform_test.go
+++ b/internal/platform/platform_test.go
@@ -3,10 +3,8 @@
 import (
 	"bufio"
 	"context"
-	"encoding/binary"
 	"encoding/json"
 	"fmt"
-	"io"
 	"net"
 	"os"
 	"path/filepath"
@@ -100,17 +98,12 @@
 	return listen(t, func(c net.Conn) {
 		in := bufio.NewReader(c)
 		for {
-			var head [16]byte
-			if _, err := io.ReadFull(in, head[:]); err != nil {
-				return
-			}
-			fields := int(binary.BigEndian.Uint16(head[2:]))
-			rest := make([]byte, fields+int(binary.BigEndian.Uint32(head[4:]))+4)
-			if _, err := io.ReadFull(in, rest); err != nil {
+			f, err := platformtest.ReadFrame(in)
+			if err != nil {
 				return
 			}
-			if head[1] == 65 {
-				do(asked{head[1], binary.BigEndian.Uint64(head[8:]), string(rest[:fields]), rest[fields : len(rest)-4], int(nth.Add(1)), c})
+			if f.Code == platformtest.Execution {
+				do(asked{f.Code, f.ID, f.Fields, f.Body, int(nth.Add(1)), c})
 			}
 		}
 	})
--- a/internal/platformtest/platformtest.go
+++ b/internal/platformtest/platformtest.go
@@ -305,34 +305,51 @@
 			return
 		}
 		at := time.Now()
-		var head [16]byte
-		if _, err := io.ReadFull(in, head[:]); err != nil {
-			return
-		}
-		fields := int(binary.BigEndian.Uint16(head[2:]))
-		rest := make([]byte, fields+int(binary.BigEndian.Uint32(head[4:]))+4)
-		if _, err := io.ReadFull(in, rest); err != nil {
+		f, err := ReadFrame(in)
+		if err != nil {
 			return
 		}
 		s.mu.Lock()
-		s.received = append(s.received, Received{head[1], at})
+		s.received = append(s.received, Received{f.Code, at})
 		s.mu.Unlock()
-		id := binary.BigEndian.Uint64(head[8:])
-		switch head[1] {
+		switch f.Code {
 		case Execution:
-			s.answer(c, AnswerFrame(codeOK, id, "remark=resident", rest[fields:len(rest)-4]))
+			s.answer(c, AnswerFrame(codeOK, f.ID, "remark=resident", f.Body))
 		case Order:
 			pods := "1"
-			for field := range strings.SplitSeq(string(rest[:fields]), ",") {
+			for field := range strings.SplitSeq(f.Fields, ",") {
 				if value, is := strings.CutPrefix(field, "pods="); is {
 					pods = value
 				}
 			}
-			s.answer(c, AnswerFrame(codeOK, id, "pods="+pods, nil))
+			s.answer(c, AnswerFrame(codeOK, f.ID, "pods="+pods, nil))
 		}
 	}
 }
 
+// Frame is one frame to a model server.
+type Frame struct {
+	Code   byte
+	ID     uint64
+	Fields string
+	Body   []byte
+}
+
+// ReadFrame reads one.
+func ReadFrame(in io.Reader) (f Frame, err error) {
+	const check = 4 // bytes behind the body
+	var head [16]byte
+	if _, err := io.ReadFull(in, head[:]); err != nil {
+		return f, err
+	}
+	fields := int(binary.BigEndian.Uint16(head[2:]))
+	rest := make([]byte, fields+int(binary.BigEndian.Uint32(head[4:]))+check)
+	if _, err := io.ReadFull(in, rest); err != nil {
+		return f, err
+	}
+	return Frame{head[1], binary.BigEndian.Uint64(head[8:]), string(rest[:fields]), rest[fields : len(rest)-check]}, nil
+}
+
 // AnswerFrame is a model server's answer.
 func AnswerFrame(code byte, id uint64, fields string, body []byte) []byte {
 	const mark = 108
@@ -426,6 +443,18 @@
 	}
 }
 
+// Until waits for what another goroutine is about to do.
+func Until(t testing.TB, what string, done func() bool) {
+	t.Helper()
+	for range 4000 {
+		if done() {
+			return
+		}
+		time.Sleep(time.Millisecond)
+	}
+	t.Fatalf("not within 4 s: %s", what)
+}
+
 // Orders counts the orders to load that came so far.
 func (s *ModelServer) Orders() int {
 	n := 0
--- a/internal/xds/drain_test.go
+++ b/internal/xds/drain_test.go
@@ -9,6 +9,7 @@
 
 	"hollymast/control"
 	"hollymast/internal/membership"
+	"hollymast/internal/platformtest"
 	"hollymast/internal/standin"
 )
 
@@ -17,8 +18,7 @@
 // gatedConn is a connection whose reader can be held up, as that of a process that was stopped.
 type gatedConn struct {
 	*net.TCPConn
-	mu   *sync.Mutex // held: nothing is read
-	came chan struct{}
+	mu *sync.Mutex // held: nothing is read
 }
 
 func (c gatedConn) Read(b []byte) (int, error) {
@@ -85,7 +85,7 @@
 					t.Error(err)
 				}
 			}()
-			eventually(t, "the first list", func() bool { return state() == control.Ready })
+			platformtest.Until(t, "the first list", func() bool { return state() == control.Ready })
 			conn := <-conns
 			conn.reading.Store(true)
 			gate.Lock()
@@ -93,7 +93,7 @@
 			tell("ready", "ready")
 			time.Sleep(50 * time.Millisecond)
 			tell("draining", "ready")
-			eventually(t, "the change is in the socket", conn.unread)
+			platformtest.Until(t, "the change is in the socket", conn.unread)
 			looked := make(chan struct{})
 			refresh <- looked
 			select {
@@ -110,17 +110,6 @@
 	}
 }
 
-func eventually(t *testing.T, what string, done func() bool) {
-	t.Helper()
-	for range 4000 {
-		if done() {
-			return
-		}
-		time.Sleep(time.Millisecond)
-	}
-	t.Fatalf("not within 4 s: %s", what)
-}
-
 // A control plane that breaks off before it has answered is asked again within half the grace, however long it was down before;
 // one that can't be reached is asked less and less often.
 func TestBreakBeforeTheAnswer(t *testing.T) {
@@ -165,10 +154,10 @@
 	mu.Lock()
 	down = false
 	mu.Unlock()
-	eventually(t, "a stream", func() bool { _, streams, _ := plane.Counts(); return streams == 1 })
+	platformtest.Until(t, "a stream", func() bool { _, streams, _ := plane.Counts(); return streams == 1 })
 	began := time.Now()
 	plane.Cut(false)
-	eventually(t, "another stream", func() bool { _, streams, _ := plane.Counts(); return streams == 2 })
+	platformtest.Until(t, "another stream", func() bool { _, streams, _ := plane.Counts(); return streams == 2 })
 	const slack = 100 * time.Millisecond
 	if took := time.Since(began); took > testGrace/2+slack {
 		t.Errorf("asked again after %v", took)
