Platform log: budgets and sends in slow start, endpoint changes, reasons of every end and close

Decisions carry their reason to the executor; nothing is decided by it, nothing stored or sent changes. One test reads the log from where its state line begins, since a step logs the endpoint change now; what it checks is the same.

--- /dev/null
+++ b/control/diagnostics.go
@@ -0,0 +1,38 @@
+package control
+
+// Diagnostics: what a service logs of the balancer's state. Nothing here changes a decision.
+
+// SlowStartStatus is what the balancer believes of a server in slow start, and what it has sent there.
+type SlowStartStatus struct {
+	StartedAt Micros
+	Capacity  float64 // fraction of its full capacity
+	Budget    int     // requests that this router may send it within the window that ends now
+	Sent      int     // requests that this router sent it within that window
+}
+
+// SlowStartStatus returns the status of a server; ok is false if it is not in slow start.
+func (b *Balancer) SlowStartStatus(now Micros, id ServerID) (status SlowStartStatus, ok bool) {
+	s := b.servers.find(id)
+	if s == nil || b.capacity(now, s) == 1 {
+		return SlowStartStatus{}, false
+	}
+	status = SlowStartStatus{StartedAt: s.StartedAt, Capacity: b.capacity(now, s), Budget: b.slowStartBudget(now, s)}
+	for _, sentAt := range s.slowStartSends {
+		if sentAt >= now-b.deployment.OverloadWindow {
+			status.Sent++
+		}
+	}
+	return status, true
+}
+
+// Throughput is what the slow-start budget is computed from.
+type Throughput struct {
+	AnswerRate float64 // answers per second that this router gets from a server at full capacity
+	Ready      int     // ready servers
+	SlowStart  int     // those of them that are in slow start
+}
+
+// Throughput returns the current estimates.
+func (b *Balancer) Throughput() Throughput {
+	return Throughput{b.answerRate, len(b.index.ready), len(b.index.slowStart.servers)}
+}
--- a/control/routing.go
+++ b/control/routing.go
@@ -182,8 +182,9 @@
 	return loaded, loading
 }
 
-// explain records the reason for a decision if a trace is attached.
+// explain sets the reason for a decision, and records it if a trace is attached.
 func (b *Balancer) explain(d Decision, reason Reason) Decision {
+	d.Reason = reason
 	if b.trace != nil {
 		b.trace.explanation.Reason = reason
 	}
--- a/control/slowstart.go
+++ b/control/slowstart.go
@@ -11,16 +11,21 @@
 // answers. Where our part of a window is less than one request, the routers alternate by number, server and time:
 // the sum stays within the budget without any coordination.
 func (b *Balancer) withinSlowStartBudget(now Micros, s *server) bool {
-	capacity := b.capacity(now, s)
-	if capacity == 1 {
+	if b.capacity(now, s) == 1 {
 		return true
 	}
+	s.slowStartSends = dropBefore(s.slowStartSends, now-b.deployment.OverloadWindow)
+	return len(s.slowStartSends) < b.slowStartBudget(now, s)
+}
+
+// slowStartBudget returns how many requests this router may send a server in slow start within the window that ends now.
+func (b *Balancer) slowStartBudget(now Micros, s *server) int {
 	if now < b.startedAt+b.deployment.OverloadWindow {
 		// What our earlier incarnation sent within this window is unknown, and all routers may have restarted at
 		// once.
-		return false
+		return 0
 	}
-	s.slowStartSends = dropBefore(s.slowStartSends, now-b.deployment.OverloadWindow)
+	capacity := b.capacity(now, s)
 	const margin = 0.8 // for the variance between requests
 	budget := b.deployment.OverloadFactor * capacity * b.answerRate * float64(b.deployment.OverloadWindow) / 1e6
 	whole, fraction := math.Modf(margin * budget)
@@ -32,7 +37,7 @@
 	if b.turnPosition(s.Server, turn) < share {
 		whole++
 	}
-	return len(s.slowStartSends) < int(whole)
+	return int(whole)
 }
 
 // estimateMargin is the part of the tolerance that turns use: the routers' estimates of the budget differ. With 0.95 one of
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -54,10 +54,10 @@
 func (l *callLog) Forward(r *control.Request, attempt control.AttemptID, to control.ServerID, _ control.Micros) {
 	l.record("forward %d.%d to %d", r.ID, attempt, to)
 }
-func (l *callLog) Reject(id control.RequestID, retryAfter control.Micros) {
+func (l *callLog) Reject(id control.RequestID, retryAfter control.Micros, _ control.Reason) {
 	l.record("reject %d for %d", id, retryAfter)
 }
-func (l *callLog) Fail(id control.RequestID) { l.record("fail %d", id) }
+func (l *callLog) Fail(id control.RequestID, _ control.Reason) { l.record("fail %d", id) }
 func (l *callLog) CancelAttempt(id control.RequestID, attempt control.AttemptID) {
 	l.record("cancel attempt %d.%d", id, attempt)
 }
--- a/internal/core/executor.go
+++ b/internal/core/executor.go
@@ -8,8 +8,8 @@
 	// Forward starts an attempt, numbered from 0 for each request, that may take up to timeout.
 	Forward(r *control.Request, attempt control.AttemptID, to control.ServerID, timeout control.Micros)
 	// Reject and Fail give a request its final response.
-	Reject(id control.RequestID, retryAfter control.Micros)
-	Fail(id control.RequestID)
+	Reject(id control.RequestID, retryAfter control.Micros, reason control.Reason)
+	Fail(id control.RequestID, reason control.Reason)
 	// CancelAttempt stops waiting for an attempt; its outcome is still to be reported.
 	CancelAttempt(id control.RequestID, attempt control.AttemptID)
 	// Load sends a command to load replicas for the sake of a request.
@@ -30,10 +30,10 @@
 func (NoopExecutor) Forward(*control.Request, control.AttemptID, control.ServerID, control.Micros) {}
 
 // Reject does nothing.
-func (NoopExecutor) Reject(control.RequestID, control.Micros) {}
+func (NoopExecutor) Reject(control.RequestID, control.Micros, control.Reason) {}
 
 // Fail does nothing.
-func (NoopExecutor) Fail(control.RequestID) {}
+func (NoopExecutor) Fail(control.RequestID, control.Reason) {}
 
 // CancelAttempt does nothing.
 func (NoopExecutor) CancelAttempt(control.RequestID, control.AttemptID) {}
--- a/internal/core/policy.go
+++ b/internal/core/policy.go
@@ -62,6 +62,23 @@
 	return b.LearnedState(now)
 }
 
+// SlowStartStatus returns what the balancer believes of a server in slow start; ok is false if the server is in none, or the
+// policy is a baseline.
+func (c *Core) SlowStartStatus(now control.Micros, id control.ServerID) (status control.SlowStartStatus, ok bool) {
+	if b := c.balancer(); b != nil {
+		return b.SlowStartStatus(now, id)
+	}
+	return control.SlowStartStatus{}, false
+}
+
+// Throughput returns the balancer's estimates; zero if the policy is a baseline.
+func (c *Core) Throughput() control.Throughput {
+	if b := c.balancer(); b != nil {
+		return b.Throughput()
+	}
+	return control.Throughput{}
+}
+
 // EjectedServers returns the servers that the balancer has ejected, or nil if the policy is a baseline.
 func (c *Core) EjectedServers() map[control.ServerID]bool {
 	if b, ok := c.policy.(*control.Balancer); ok {
--- a/internal/core/recorder.go
+++ b/internal/core/recorder.go
@@ -36,14 +36,14 @@
 	e.executor.Forward(r, attempt, to, timeout)
 }
 
-func (e recordingExecutor) Reject(id control.RequestID, retryAfter control.Micros) {
-	e.recorder.Reject(id, retryAfter)
-	e.executor.Reject(id, retryAfter)
+func (e recordingExecutor) Reject(id control.RequestID, retryAfter control.Micros, reason control.Reason) {
+	e.recorder.Reject(id, retryAfter, reason)
+	e.executor.Reject(id, retryAfter, reason)
 }
 
-func (e recordingExecutor) Fail(id control.RequestID) {
-	e.recorder.Fail(id)
-	e.executor.Fail(id)
+func (e recordingExecutor) Fail(id control.RequestID, reason control.Reason) {
+	e.recorder.Fail(id, reason)
+	e.executor.Fail(id, reason)
 }
 
 func (e recordingExecutor) CancelAttempt(id control.RequestID, attempt control.AttemptID) {
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -240,6 +240,9 @@
 	return ss
 }
 
+// StartedAt returns when the server started, in the router's time; 0: long ago.
+func (s *Server) StartedAt() control.Micros { return s.startedAt }
+
 // InSlowStart reports whether a server started less than span ago.
 func (s *Server) InSlowStart(now, span control.Micros) bool {
 	return s.startedAt > 0 && now < s.startedAt+span
--- a/internal/gateway/requests.go
+++ b/internal/gateway/requests.go
@@ -171,7 +171,7 @@
 }
 
 // Reject ends a request that did not run; its client may retry after retryAfter.
-func (g *Gateway) Reject(id control.RequestID, retryAfter control.Micros) {
+func (g *Gateway) Reject(id control.RequestID, retryAfter control.Micros, _ control.Reason) {
 	g.decisions.add(g.loop.StepTime, record.Command{Kind: record.CommandReject, Request: id, Time: retryAfter})
 	req := g.requests[id]
 	retryAfter = g.spreadRetryAfter(req, retryAfter)
@@ -179,7 +179,7 @@
 }
 
 // Fail ends a request that may have run and must not be repeated.
-func (g *Gateway) Fail(id control.RequestID) {
+func (g *Gateway) Fail(id control.RequestID, _ control.Reason) {
 	g.decisions.add(g.loop.StepTime, record.Command{Kind: record.CommandFail, Request: id})
 	g.finish(g.requests[id], answerFailed, failure("the job may have run; its end is not known"))
 }
--- a/internal/modelcheck/executor.go
+++ b/internal/modelcheck/executor.go
@@ -41,12 +41,14 @@
 }
 
 // Reject answers a request that its client may repeat.
-func (x *executor) Reject(id control.RequestID, _ control.Micros) {
+func (x *executor) Reject(id control.RequestID, _ control.Micros, _ control.Reason) {
 	x.giveAnswer(x.config.requestIndex(id), answerRejected)
 }
 
 // Fail answers a request as failed.
-func (x *executor) Fail(id control.RequestID) { x.giveAnswer(x.config.requestIndex(id), answerFailed) }
+func (x *executor) Fail(id control.RequestID, _ control.Reason) {
+	x.giveAnswer(x.config.requestIndex(id), answerFailed)
+}
 
 // giveAnswer gives a request its final answer and withdraws what is not written for it yet.
 func (x *executor) giveAnswer(request int, kind string) {
--- a/internal/platform/anomalies.go
+++ b/internal/platform/anomalies.go
@@ -1,12 +1,5 @@
 package platform
 
-import (
-	"fmt"
-	"slices"
-	"strings"
-	"sync"
-)
-
 // anomaly is a kind of trouble that the state log line counts.
 type anomaly uint8
 
@@ -51,10 +44,7 @@
 
 // anomalyCounts counts anomalies between two state log lines: one line for all, so that a flood of faults does not flood
 // the log. Any goroutine may count.
-type anomalyCounts struct {
-	mu     sync.Mutex
-	counts map[anomalyDetail]int
-}
+type anomalyCounts struct{ counter[anomalyDetail] }
 
 // anomalyDetail is an anomaly with what was wrong, one of a few texts; empty where the kind tells it.
 type anomalyDetail struct {
@@ -74,24 +64,5 @@
 
 // addDetail counts an anomaly by what was wrong.
 func (c *anomalyCounts) addDetail(kind anomaly, detail string) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.counts == nil {
-		c.counts = map[anomalyDetail]int{}
-	}
-	c.counts[anomalyDetail{kind, detail}]++
-}
-
-// take returns the counts as text, in order of their texts, and resets them.
-func (c *anomalyCounts) take() string {
-	c.mu.Lock()
-	counts := c.counts
-	c.counts = nil
-	c.mu.Unlock()
-	parts := make([]string, 0, len(counts))
-	for what, n := range counts {
-		parts = append(parts, fmt.Sprintf("%v: %d", what, n))
-	}
-	slices.Sort(parts)
-	return strings.Join(parts, "; ")
+	c.counter.add(anomalyDetail{kind, detail})
 }
--- a/internal/platform/clientconn.go
+++ b/internal/platform/clientconn.go
@@ -40,6 +40,7 @@
 	draining          atomic.Bool                // all is written; input is only read and dropped
 	closedNow         atomic.Bool
 	closeNowRequested chan struct{} // closed to end the draining
+	closeReason       atomic.Uint32 // a clientClose
 }
 
 // hasAbandoned reports whether the client no longer waits for a request's answer.
@@ -152,14 +153,25 @@
 			return true
 		}
 		if late := errors.Is(err, os.ErrDeadlineExceeded); nothing || !late {
-			if late && !c.sentMessage.Load() {
-				c.router.anomalies.add(clientTooSlow)
-			}
+			c.noteAwaitEnd(late)
 			return false
 		}
 	}
 }
 
+// noteAwaitEnd notes why the wait for a message has ended: by a deadline, or by the client.
+func (c *clientConn) noteAwaitEnd(late bool) {
+	switch {
+	case !late:
+		c.closesBecause(clientEnded)
+	case !c.sentMessage.Load():
+		c.router.anomalies.add(clientTooSlow)
+		c.closesBecause(clientSlow)
+	default:
+		c.closesBecause(clientIdle)
+	}
+}
+
 // setMessageDeadline sets the deadline for the rest of a message that has begun.
 func (c *clientConn) setMessageDeadline(firstDeadline time.Time) {
 	c.mu.Lock()
@@ -196,6 +208,7 @@
 				c.post(msgrpc.Invalid(fault.Number, fault.Text))
 			}
 			if fault.Unreadable {
+				c.closesBecause(clientMalformed)
 				c.closeWhenIdle(drainAfterBadInput)
 				return
 			}
@@ -205,8 +218,10 @@
 		case err != nil:
 			if errors.Is(err, os.ErrDeadlineExceeded) && !c.readTimeOver() {
 				c.router.anomalies.add(clientTooSlow)
+				c.closesBecause(clientSlow)
 				c.closeWhenIdle(drainAfterBadInput)
 			}
+			c.closesBecause(clientEnded)
 			return
 		}
 		c.sentMessage.Store(true)
@@ -242,6 +257,7 @@
 // closes the connection.
 func (c *clientConn) refuseFurther(refusal func(number uint32) []byte) {
 	c.refusal = refusal
+	c.closesBecause(clientMalformed)
 	c.failOpen()
 	c.closeWhenIdle(drainAfterBadInput)
 	c.closeBy(drainAfterBadInput)
@@ -294,6 +310,7 @@
 // handleCall validates a request and posts it to the event loop.
 func (c *clientConn) handleCall(m *msgrpc.Message) {
 	if c.refusal != nil {
+		c.router.requestEnds.add(requestOutcome{endRejected, reasonConnRefuses})
 		c.reply(c.refusal(m.Number))
 		c.penalize()
 		return
@@ -304,6 +321,7 @@
 	}
 	if why := c.router.validate(&m.Request, req); why != "" {
 		c.router.countBadMessage(&msgrpc.Fault{Number: m.Number, Text: why})
+		c.router.requestEnds.add(requestOutcome{endFailed, reasonInvalid})
 		c.reply(msgrpc.Invalid(m.Number, why))
 		c.penalize()
 		return
@@ -320,6 +338,7 @@
 	if !rising {
 		// Answers could not be told apart, so that no request of this connection gets one that counts.
 		c.router.countBadMessage(&msgrpc.Fault{Number: m.Number, Text: "number does not rise"})
+		c.router.requestEnds.add(requestOutcome{endFailed, reasonInvalid})
 		c.reply(msgrpc.Invalid(m.Number, "number does not rise"))
 		c.refuseFurther(func(number uint32) []byte {
 			return msgrpc.Invalid(number, "sent behind a number that did not rise")
@@ -328,6 +347,7 @@
 	}
 	if full {
 		c.router.anomalies.add(requestRejected)
+		c.router.requestEnds.add(requestOutcome{endRejected, reasonTooManyOpen})
 		c.reply(msgrpc.Rejection(m.Number, c.router.config.Deployment.MaxRetryAfter))
 		c.penalize()
 		return
@@ -378,6 +398,7 @@
 	case <-time.After(writeTimeout):
 	}
 	c.writes.close()
+	c.router.clientCloses.add(clientClose(c.closeReason.Load()))
 	c.router.mu.Lock()
 	delete(c.router.clients, c)
 	c.router.rejectedConns -= countOf(c.rejected)
--- a/internal/platform/clients.go
+++ b/internal/platform/clients.go
@@ -111,6 +111,7 @@
 	r.rejecting <- struct{}{}
 	c := r.newClient(conn)
 	c.rejected = true
+	c.closesBecause(clientOverLimit)
 	r.addClient(c)
 	c.refusal = func(number uint32) []byte {
 		c.closeWhenIdle(drainAfterIdle)
@@ -217,6 +218,7 @@
 		return cmp.Compare(a.idleSince.Load(), b.idleSince.Load())
 	})
 	for _, c := range idle[:min(n, len(idle))] {
+		c.closesBecause(clientForRoom)
 		c.abort()
 		r.anomalies.add(idleClientClosed)
 		if first == nil {
--- a/internal/platform/drain_test.go
+++ b/internal/platform/drain_test.go
@@ -59,8 +59,6 @@
 // endpoint list.
 func TestStateLogReportsLateFirstBytes(t *testing.T) {
 	r := idleRouter(t)
-	var line bytes.Buffer
-	r.log = zerolog.New(&line)
 	r.stepWithServer(unreachable)
 	call := r.newCall(fleet.ID("s-0"), 1_000_000)
 	call.conn = &serverConn{pool: r.poolOf(call.to)}
@@ -70,6 +68,8 @@
 	}
 	r.loop.PreviousEndpointsAsOf = r.loop.EndpointsAsOf
 	r.listServer(r.loop.Now(), unreachable, control.Draining)
+	var line bytes.Buffer
+	r.log = zerolog.New(&line)
 	r.logState()
 	var logged struct {
 		Oldest     int64 `json:"oldest_list_us"`
--- a/internal/platform/endpoints.go
+++ b/internal/platform/endpoints.go
@@ -9,6 +9,7 @@
 // handleUpdate applies an update from discovery, full or incremental.
 func (r *Router) handleUpdate(now control.Micros, update fleet.Update) {
 	eventloop.ApplyUpdate(now, update, r.fleet, r.core, r.pools, func(pool *serverPool) { r.refreshPool(now, pool) })
+	r.endpointLog.note(now, update, r.fleet)
 }
 
 // handleEndpoints applies a complete endpoint list.
@@ -42,6 +43,7 @@
 				r.callEnded(now, call, control.NotSent, nil)
 			}
 		}
+		sc.closesBecause(serverUpdated)
 		r.retire(sc)
 	}
 }
@@ -54,12 +56,14 @@
 		return
 	}
 	r.prunedAt = now
+	r.endSlowStarts(now)
 	for e := r.connsByIdle.Front(); e != nil; {
 		sc := e.Value.(*serverConn)
 		if now-sc.idleSince <= r.config.serverIdleTimeout*3/4 {
 			break
 		}
 		if e = e.Next(); len(sc.open) == 0 && sc.up {
+			sc.closesBecause(serverIdle)
 			r.removeConn(sc)
 		}
 	}
--- a/internal/platform/logging.go
+++ b/internal/platform/logging.go
@@ -11,20 +11,26 @@
 
 // LogServerEvent logs that a server was ejected or readmitted.
 func (r *Router) LogServerEvent(event control.ServerEvent) {
-	r.log.Info().Str("server", fmt.Sprintf("%x", event.Server)).Msg(event.LogMessage())
+	line := r.log.Info().Str("server", fmt.Sprintf(serverIDFormat, event.Server))
+	r.addSlowStart(line, r.loop.StepTime, event.Server).Msg(event.LogMessage())
 }
 
 // countBadMessage counts a client message that breaks the protocol.
 func (r *Router) countBadMessage(f *msgrpc.Fault) { r.anomalies.addDetail(badMessage, f.Text) }
 
-// logState logs the state line: connections, requests, and the anomalies since the last one.
+// logState logs the state line: connections, requests, the estimates behind the slow-start budget, and, counted since the
+// last line, how attempts and requests ended, why there were retries, why connections closed, and the anomalies.
 func (r *Router) logState() {
 	r.mu.Lock()
 	clients := len(r.clients)
 	r.mu.Unlock()
+	throughput := r.core.Throughput()
 	r.log.Info().Int("clients", clients).Int("server_connections", r.serverConnCount).
 		Int("requests", len(r.requests)).Int("held", r.core.Held()).Uint64("list_revision", r.discovery.Revision()).
 		Int64("oldest_list_us", r.oldestEndpoints.take()).Int64("after_drain_us", r.afterDrain.take()).
+		Int("ready", throughput.Ready).Int("slow_start", throughput.SlowStart).Float64("answer_rate", throughput.AnswerRate).
+		Str("attempts", r.attemptEnds.take()).Str("retries", r.retries.take()).Str("ended", r.requestEnds.take()).
+		Str("client_closes", r.clientCloses.take()).Str("server_closes", r.serverCloses.take()).
 		Str("anomalies", r.anomalies.take()).Msg("state")
 }
 
@@ -59,7 +65,7 @@
 			loaded, loading = loaded+countOf(server.Loaded), loading+countOf(server.LoadingNow)
 			overloaded, ejected = overloaded+countOf(server.Overloaded), ejected+countOf(server.Ejected)
 		}
-		r.log.Trace().Str("why", string(explanation.Reason)).
+		r.log.Trace().Str("id", fmt.Sprintf(requestIDFormat, uint64(explanation.Request))).Str("why", string(explanation.Reason)).
 			Str("function", fmt.Sprintf("%016x", uint64(explanation.Function))).Int64("exec", int64(explanation.ExecTime)).
 			Int64("slack", int64(explanation.Slack)).Int64("load", int64(explanation.LoadTime)).
 			Int("held", explanation.Held).Float64("B", explanation.B).Int("loaded", loaded).
@@ -89,7 +95,7 @@
 	if answer != nil {
 		event = event.Uint8("cache_status", uint8(answer.CacheStatus))
 	}
-	event.Str("id", fmt.Sprintf("%016x", uint64(call.id))).Bool("load_command", call.request == nil).
+	event.Str("id", fmt.Sprintf(requestIDFormat, uint64(call.id))).Bool("load_command", call.request == nil).
 		Str("function", fmt.Sprintf("%016x", function)).
 		Str("server", call.address()).Int64("chosen", int64(call.chosenAt)).Bool("written_whole", call.writtenWhole.Load()).
 		Int64("answered", int64(now)).Uint8("result", uint8(result)).Msg("attempt ended")
--- /dev/null
+++ b/internal/platform/requestlog.go
@@ -0,0 +1,91 @@
+package platform
+
+import (
+	"fmt"
+
+	"hollymast/control"
+)
+
+// How requests and attempts end, counted for the state log line and, at debug level, logged one by one.
+
+// attemptResult is a control.Result in the log's words.
+type attemptResult control.Result
+
+var attemptResultTexts = [...]string{
+	control.Succeeded:       "succeeded",
+	control.Failed:          "failed",
+	control.Overloaded:      "server full",
+	control.TimedOut:        "timed out",
+	control.ConnectFailed:   "connect failed",
+	control.ConnectionReset: "connection reset",
+	control.Cancelled:       "cancelled",
+	control.NotSent:         "not sent",
+	control.NotLoaded:       "not loaded",
+}
+
+func (r attemptResult) String() string { return attemptResultTexts[r] }
+
+// requestEnd is how a request ended.
+type requestEnd uint8
+
+// The ends of a request.
+const (
+	endServed requestEnd = iota
+	endRejected
+	endFailed
+	endCancelled
+)
+
+var requestEndTexts = [...]string{
+	endServed:    "served",
+	endRejected:  "rejected",
+	endFailed:    "failed",
+	endCancelled: "cancelled by its client",
+}
+
+func (e requestEnd) String() string { return requestEndTexts[e] }
+
+// The service's own reasons to end a request, beside the balancer's.
+const (
+	reasonStopping     control.Reason = "the router is stopping"
+	reasonDuplicate    control.Reason = "its id is in flight already"
+	reasonNotAccepted  control.Reason = "the core did not accept it"
+	reasonTooManyOpen  control.Reason = "too many are open on its connection"
+	reasonConnRefuses  control.Reason = "its connection is over the limit, or fails all requests"
+	reasonInvalid      control.Reason = "it breaks the protocol"
+	reasonClientLeft   control.Reason = "its client cancelled or closed"
+	reasonServerAnswer control.Reason = "a server answered"
+	reasonNotGiven     control.Reason = "not given"
+)
+
+// requestIDFormat is the form of request ids in the log: the one that clients send.
+const requestIDFormat = "%016x"
+
+// requestOutcome is a request's end with its reason.
+type requestOutcome struct {
+	end    requestEnd
+	reason control.Reason
+}
+
+func (o requestOutcome) String() string { return o.end.String() + ": " + string(o.reason) }
+
+// noteRequestEnd counts the end of a request, and logs it at debug level.
+func (r *Router) noteRequestEnd(req *request, end requestEnd, reason control.Reason) {
+	if reason == "" {
+		reason = reasonNotGiven
+	}
+	r.requestEnds.add(requestOutcome{end, reason})
+	event := r.log.Debug()
+	if event == nil {
+		return
+	}
+	event.Str("id", fmt.Sprintf(requestIDFormat, uint64(req.id))).Stringer("end", end).Str("reason", string(reason)).
+		Int("attempts", len(req.attempts)).Int64("read_at", int64(req.readAt)).Msg("request ended")
+}
+
+// noteRetry counts a request's next attempt by how the one before it ended.
+func (r *Router) noteRetry(req *request) {
+	if n := len(req.attempts); n > 0 {
+		r.retries.add(req.attempts[n-1].result)
+	}
+}
--- a/internal/platform/router.go
+++ b/internal/platform/router.go
@@ -43,7 +43,9 @@
 	removedPools    map[control.ServerID]*serverPool // pools of removed servers, until their connections have ended
 	prunedAt        control.Micros
 	stopRequestedAt control.Micros // 0: not stopping
-	random          *rand.PCG      // for load commands' ids; no decision depends on it
+	endpointLog     endpointLog
+	slowStarts      map[control.ServerID]*slowStart // servers in slow start that were sent requests
+	random          *rand.PCG                       // for load commands' ids; no decision depends on it
 
 	// Shared with other goroutines.
 	calls         calls
@@ -57,6 +59,12 @@
 	clients       map[*clientConn]struct{}
 	rejectedConns int // of clients, those beyond the limit
 	anomalies     anomalyCounts
+	// Counts for the state log line, reset with each.
+	attemptEnds  counter[attemptResult]
+	retries      counter[attemptResult] // by how the attempt before ended
+	requestEnds  counter[requestOutcome]
+	clientCloses counter[clientClose]
+	serverCloses counter[serverClose]
 	// Peaks for the state log line, reset with each, in microseconds.
 	oldestEndpoints peak // age of the endpoint list at an attempt's first byte
 	afterDrain      peak // upper bound on a first byte's delay after its server drained or was removed
@@ -78,8 +86,8 @@
 	r := &Router{
 		config: config, log: log, loop: eventloop.New(eventloop.NewClock(config.wall()), config.grace),
 		requests: map[control.RequestID]*request{}, pools: map[control.ServerID]*serverPool{},
-		clients: map[*clientConn]struct{}{},
-		fleet:   fleet.New(0), calls: systemCalls, acceptEnded: make(chan struct{}),
+		clients: map[*clientConn]struct{}{}, slowStarts: map[control.ServerID]*slowStart{},
+		fleet: fleet.New(0), calls: systemCalls, acceptEnded: make(chan struct{}),
 		rejecting: make(chan struct{}, maxRejecting), random: rand.NewPCG(config.Seed, 0),
 	}
 	r.fleet.UseSourceClock()
@@ -237,6 +245,7 @@
 // step handles a batch of events, lets the core decide on them, and closes what has been idle for long.
 func (r *Router) step(now control.Micros, events []func(control.Micros)) {
 	r.loop.Step(now, events, r.fleet, r.core)
+	r.logEndpoints(now)
 	r.prune(now)
 }
 
--- a/internal/platform/servercall.go
+++ b/internal/platform/servercall.go
@@ -33,6 +33,7 @@
 	stage          atomic.Int32   // an attempt.Stage
 	writtenWhole   atomic.Bool    // its last byte was written
 	progress       attempt.Progress
+	result         attemptResult // once it has ended
 	timer          *time.Timer
 }
 
@@ -186,6 +187,7 @@
 		call.conn.writes.post(queuedFrame{data: binframe.CancelFrame(call.id)})
 	}
 	call.conn.retired = true
+	call.conn.closesBecause(serverAbandoned)
 }
 
 // callEnded handles the end of a call, once: later ends are ignored.
@@ -204,6 +206,10 @@
 	if call.progress.Cancelled && result != control.Succeeded && !result.ProvesNotRun() {
 		result = control.Cancelled
 	}
+	call.result = attemptResult(result)
+	if call.request != nil {
+		r.attemptEnds.add(call.result)
+	}
 	r.logAttempt(now, call, result, answer)
 	duration := now - call.chosenAt
 	if call.request == nil {
--- a/internal/platform/serverconn.go
+++ b/internal/platform/serverconn.go
@@ -31,6 +31,7 @@
 	partialWrite atomic.Bool   // a write ended amid a frame
 	dialing      context.Context
 	cancelDial   context.CancelFunc
+	closeReason  serverClose
 }
 
 // close closes the connection at once and cancels its dial, whose descriptor is then free for another.
@@ -61,18 +62,18 @@
 // run dials, then reads answers until the connection ends, and reports its end to the event loop.
 func (sc *serverConn) run() {
 	r := sc.router
-	broke := func(result control.Result) {
+	broke := func(result control.Result, reason serverClose) {
 		sc.close()
-		r.loop.Post(func(now control.Micros) { r.connectionBroke(now, sc, result) })
+		r.loop.Post(func(now control.Micros) { r.connectionBroke(now, sc, result, reason) })
 	}
-	end := control.Failed // after a panic: what was written may have run
+	end, reason := control.Failed, serverReadFault // after a panic: what was written may have run
 	defer r.recoverPanic(panicReadingServer)
-	defer func() { broke(end) }()
+	defer func() { broke(end, reason) }()
 	conn, err := sc.dial()
 	if err != nil {
-		end = control.ConnectFailed
+		end, reason = control.ConnectFailed, serverNotReachable
 		if netfail.IsLocal(err) || errors.Is(err, context.Canceled) {
-			end = control.NotSent // says nothing about the server
+			end, reason = control.NotSent, serverDialLocal // says nothing about the server
 		} else {
 			r.anomalies.add(noServerConnection)
 		}
@@ -86,12 +87,12 @@
 		reader.setDeadline(time.Time{})
 		answer, err := binframe.Read(in, func() { reader.setDeadline(time.Now().Add(answerTimeout)) })
 		if err != nil {
-			end = control.ConnectionReset
+			end, reason = control.ConnectionReset, serverEnded
 			if why := corruptionOf(err); why != "" {
-				end = control.Failed // the server answers, but unreadably
+				end, reason = control.Failed, serverUnreadable // the server answers, but unreadably
 				r.anomalies.addDetail(corruptAnswer, why)
 			} else if netfail.IsLocal(err) {
-				end = control.Failed // may have run; says nothing about the server
+				end, reason = control.Failed, serverReadFault // may have run; says nothing about the server
 			}
 			return
 		}
@@ -145,8 +146,10 @@
 
 // connectionBroke handles the end of a connection: the result of each call open on it follows from how far it had
 // got.
-func (r *Router) connectionBroke(now control.Micros, sc *serverConn, result control.Result) {
+func (r *Router) connectionBroke(now control.Micros, sc *serverConn, result control.Result, reason serverClose) {
 	open := sc.open
+	sc.closesBecause(reason)
+	r.serverCloses.add(sc.closeReason)
 	r.removeConn(sc)
 	for _, call := range sortedByID(open) {
 		callResult := result
--- a/internal/platform/serverpool.go
+++ b/internal/platform/serverpool.go
@@ -70,6 +70,7 @@
 func (r *Router) closeIdleServerConn() bool {
 	for e := r.connsByIdle.Front(); e != nil; e = e.Next() {
 		if sc := e.Value.(*serverConn); len(sc.open) == 0 && sc.up {
+			sc.closesBecause(serverForRoom)
 			r.removeConn(sc)
 			return true
 		}
--- a/internal/platform/shutdown.go
+++ b/internal/platform/shutdown.go
@@ -72,6 +72,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for c := range r.clients {
+		c.closesBecause(clientShutdown)
 		c.closeWhenIdle(drainAfterIdle)
 	}
 }
@@ -81,6 +82,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for c := range r.clients {
+		c.closesBecause(clientShutdown)
 		c.closeBy(finalReadTime)
 	}
 }
@@ -110,8 +112,10 @@
 			return !call.withdraw() && call.currentStage() == attempt.Writing
 		})
 		if r.config.Deployment.Classes[req.class].RejectedByStop(mayHaveRun) {
+			r.noteRequestEnd(req, endRejected, reasonStopping)
 			r.finish(req, msgrpc.Rejection(req.number, r.config.Deployment.MaxRetryAfter))
 		} else {
+			r.noteRequestEnd(req, endFailed, reasonStopping)
 			r.finish(req, msgrpc.Failure(req.number))
 		}
 	}
--- a/internal/record/recorder.go
+++ b/internal/record/recorder.go
@@ -88,12 +88,14 @@
 }
 
 // Reject records a rejection.
-func (r *Recorder) Reject(id control.RequestID, retryAfter control.Micros) {
+func (r *Recorder) Reject(id control.RequestID, retryAfter control.Micros, _ control.Reason) {
 	r.addCommand(Command{Kind: CommandReject, Request: id, Time: retryAfter})
 }
 
 // Fail records a final failure.
-func (r *Recorder) Fail(id control.RequestID) { r.addCommand(Command{Kind: CommandFail, Request: id}) }
+func (r *Recorder) Fail(id control.RequestID, _ control.Reason) {
+	r.addCommand(Command{Kind: CommandFail, Request: id})
+}
 
 // CancelAttempt records that an attempt is cancelled.
 func (r *Recorder) CancelAttempt(id control.RequestID, attempt control.AttemptID) {
--- a/internal/simadapter/router.go
+++ b/internal/simadapter/router.go
@@ -51,12 +51,12 @@
 }
 
 // Reject ends a request that its client may repeat.
-func (r *router) Reject(id control.RequestID, retryAfter control.Micros) {
+func (r *router) Reject(id control.RequestID, retryAfter control.Micros, _ control.Reason) {
 	r.output().Reject(uint64(id), uint32(retryAfter))
 }
 
 // Fail ends a request as failed.
-func (r *router) Fail(id control.RequestID) { r.output().Fail(uint64(id)) }
+func (r *router) Fail(id control.RequestID, _ control.Reason) { r.output().Fail(uint64(id)) }
 
 // CancelAttempt cancels an attempt.
 func (r *router) CancelAttempt(id control.RequestID, attempt control.AttemptID) {
--- a/internal/simulation/routing.go
+++ b/internal/simulation/routing.go
@@ -90,7 +90,7 @@
 }
 
 // Reject ends a request that its client may repeat.
-func (r *router) Reject(id control.RequestID, retryAfter control.Micros) {
+func (r *router) Reject(id control.RequestID, retryAfter control.Micros, _ control.Reason) {
 	q := r.requests[id]
 	if r.overload != nil {
 		retryAfter = r.overload.RecordRejection(r.node.Now(), retryAfter, q.client.keyHash())
@@ -99,7 +99,7 @@
 }
 
 // Fail ends a request of which nothing may be promised.
-func (r *router) Fail(id control.RequestID) { r.answer(r.requests[id], failed, 0) }
+func (r *router) Fail(id control.RequestID, _ control.Reason) { r.answer(r.requests[id], failed, 0) }
 
 // SubscribeEndpoints does nothing: the list is polled in any case.
 func (r *router) SubscribeEndpoints() {}
