--- a/cmd/hmchaos/main.go
+++ b/cmd/hmchaos/main.go
@@ -18,6 +18,7 @@
 	Changes    changesCmd    `cmd:"" help:"Change the list through a pretend control plane, under load, and measure how soon the router follows."`
 	Emulate    emulateCmd    `cmd:"" help:"Play a day in simulated time, with this build's decisions or a textbook policy's."`
 	Experiment experimentCmd `cmd:"" help:"Play many days in simulated time and hold arms against each other, as a file says."`
+	Soak       soakCmd       `cmd:"" help:"Play seeded faults against routers of the platform, and judge its rules from what crossed the sockets."`
 	Day        dayCmd        `cmd:"" help:"Play a scripted bad day and judge the five rules from what crossed the sockets."`
 }
 
