Slow-start budget: answers are divided by the capacity that gave them

Change: control/throughput.go divides by the ready capacity over the time of the answers, leaves out times without a ready server, and counts no answers of servers that drain. A restart with learned state shares them among all servers known then. The class: a rate whose numerator and denominator are of different times or sets. Checkpoints of recordings have one more, optional key ('Ready'); without it their bytes are as before, and those of earlier builds are read (both tested).

--- a/control/balancer.go
+++ b/control/balancer.go
@@ -32,14 +32,16 @@
 	candidates    []candidate // scratch space, reused between decisions
 	deviations    []deviation // scratch space, too
 	serverEvents  []ServerEvent
-	answers       []Micros // recent answers, from all servers
+	answers       []Micros // recent answers, from all ready servers
 	answerRate    float64  // answers per second that we get from one server at full capacity, see updateAnswerRate
 	freshFor      Micros
-	recent        []*function // functions of the most recently admitted requests
-	pruned        int         // where prune continues in functionOrder
-	subscribed    bool
-	index         index
-	trace         *Trace // nil except in diagnostic tools
+	// The capacity over the time of answers.
+	capacityHistory capacityHistory
+	recent          []*function // functions of the most recently admitted requests
+	pruned          int         // where prune continues in functionOrder
+	subscribed      bool
+	index           index
+	trace           *Trace // nil except in diagnostic tools
 }
 
 // New returns a Balancer for the given deployment. It knows no servers until UpdateEndpoints is called; seed
@@ -47,5 +49,5 @@
 func New(now Micros, seed uint64, config Deployment) *Balancer {
 	return &Balancer{deployment: config, random: pcg(seed), startedAt: now, functions: map[FunctionID]*function{},
 		execTimes: make([]samples, len(config.Classes)), deadlines: make([]samples, len(config.Classes)),
-		quotaDebt: make([]Micros, len(config.Quotas))}
+		quotaDebt: make([]Micros, len(config.Quotas)), capacityHistory: capacityHistory{asOf: now}}
 }
--- a/control/endpoints.go
+++ b/control/endpoints.go
@@ -12,6 +12,7 @@
 		b.subscribed = false
 		return
 	}
+	b.recordCapacity(now)
 	previous := b.index.listedAt
 	b.index.listedAt = now
 	if kind != IncrementalUpdate {
--- a/control/learned.go
+++ b/control/learned.go
@@ -11,6 +11,7 @@
 	b.loadCommands, b.admitted = clampTo(state.LoadCommands, now), dropAfter(state.Admitted, now)
 	if now >= state.SavedAt && now < state.SavedAt+recently {
 		b.answers, b.startedAt = dropAfter(state.Answers, now), min(now, state.StartedAt)
+		b.capacityHistory = capacityHistory{} // not stored
 	}
 	for i := range min(len(b.quotaDebt), len(state.QuotaDebt)) {
 		b.quotaDebt[i] = min(state.QuotaDebt[i], now+2_000_000) // see exceedsQuota
--- a/control/overload.go
+++ b/control/overload.go
@@ -77,18 +77,6 @@
 	}
 }
 
-// updateAnswerRate updates answerRate, the answers per second that this router gets from a server at full capacity,
-// and freshFor, how long an observation of a server stays valid: about the time until its next answer is due.
-func (b *Balancer) updateAnswerRate(now Micros) {
-	const window = 10_000_000 // some tens of answers, even if a router gets only a few requests per second
-	b.answers = dropBefore(b.answers, now-window)
-	// Includes ejected and overloaded servers: leaving them out would make the rest look more capable.
-	servers := b.totalCapacity(now)
-	observed := min(window, max(window/10, now-b.startedAt)) // shorter if the router just started
-	b.answerRate = float64(len(b.answers)) * 1e6 / float64(observed) / max(1, servers)
-	b.freshFor = Micros(min(maxFreshFor, max(rareAnswers, 1e6/max(0.01, b.answerRate))))
-}
-
 // maxFreshFor is the longest time that an observation of a server stays valid.
 const maxFreshFor = 8_000_000
 
--- a/control/retries.go
+++ b/control/retries.go
@@ -91,7 +91,8 @@
 // load.
 func (b *Balancer) recordSuccess(now Micros, f *function, inst *instance, req *Request, o Outcome) {
 	s, toLoaded := inst.server, req.Attempts[o.Attempt].toLoaded
-	b.answers, s.rejections = append(b.answers, now), 0
+	b.countAnswer(now, s)
+	s.rejections = 0
 	inst.lastUsed = now
 	exec := b.execTime(f, req)
 	if o.CacheStatus == CacheHit || o.CacheStatus == CacheUnknown && toLoaded {
--- a/control/routing.go
+++ b/control/routing.go
@@ -184,7 +184,7 @@
 
 // explain sets the reason for a decision, and records it if a trace is attached.
 func (b *Balancer) explain(d Decision, reason Reason) Decision {
-	d.Reason = reason
+	d.reason = reason
 	if b.trace != nil {
 		b.trace.explanation.Reason = reason
 	}
--- a/control/snapshot.go
+++ b/control/snapshot.go
@@ -26,10 +26,32 @@
 	Answers       []Micros           `json:"Answers"`
 	AnswerRate    float64            `json:"Rate"`
 	FreshFor      Micros             `json:"Fresh"`
-	Waiting       []int              `json:"Waiting"` // positions in Functions
-	Recent        []int              `json:"Recent"`  // positions in Functions
-	Pruned        int                `json:"Tidied"`
-	Subscribed    bool               `json:"Watching"`
+	// Not in checkpoints of builds before it: their capacity counts as unchanged for the time of Answers.
+	CapacityHistory *CapacityHistorySnapshot `json:"Ready,omitempty" golden:"joined"`
+	Waiting         []int                    `json:"Waiting"` // positions in Functions
+	Recent          []int                    `json:"Recent"`  // positions in Functions
+	Pruned          int                      `json:"Tidied"`
+	Subscribed      bool                     `json:"Watching"`
+}
+
+// CapacityHistorySnapshot is the capacity of the ready servers over the time for which answers count.
+type CapacityHistorySnapshot struct {
+	Periods []CapacityPeriod `json:"Periods"` // in order of time
+	AsOf    Micros           `json:"AsOf"`
+}
+
+func (h *capacityHistory) snapshot() *CapacityHistorySnapshot {
+	if h.asOf == 0 {
+		return nil
+	}
+	return &CapacityHistorySnapshot{slices.Clone(h.periods), h.asOf}
+}
+
+func (s *CapacityHistorySnapshot) restore() capacityHistory {
+	if s == nil {
+		return capacityHistory{}
+	}
+	return capacityHistory{slices.Clone(s.Periods), s.AsOf}
 }
 
 // ServerSnapshot is the state of one server.
@@ -179,24 +201,25 @@
 // Snapshot returns the whole state. It shares no memory with the balancer, except for the slices in Deployment.
 func (b *Balancer) Snapshot() *Snapshot {
 	s := &Snapshot{
-		Deployment:    b.deployment,
-		Random:        uint64(b.random),
-		StartedAt:     b.startedAt,
-		ExecTimes:     snapshots(b.execTimes),
-		Deadlines:     snapshots(b.deadlines),
-		QuotaDebt:     slices.Clone(b.quotaDebt),
-		Latencies:     b.latencies.snapshot(),
-		LoadTimes:     b.loadTimes.snapshot(),
-		Queueing:      b.queueing.snapshot(),
-		LoadCommands:  slices.Clone(b.loadCommands),
-		Admitted:      slices.Clone(b.admitted),
-		Cancellations: slices.Clone(b.cancellations),
-		ServerEvents:  convertAll(b.serverEvents, ServerEvent.String),
-		Answers:       slices.Clone(b.answers),
-		AnswerRate:    b.answerRate,
-		FreshFor:      b.freshFor,
-		Pruned:        b.pruned,
-		Subscribed:    b.subscribed,
+		Deployment:      b.deployment,
+		Random:          uint64(b.random),
+		StartedAt:       b.startedAt,
+		ExecTimes:       snapshots(b.execTimes),
+		Deadlines:       snapshots(b.deadlines),
+		QuotaDebt:       slices.Clone(b.quotaDebt),
+		Latencies:       b.latencies.snapshot(),
+		LoadTimes:       b.loadTimes.snapshot(),
+		Queueing:        b.queueing.snapshot(),
+		LoadCommands:    slices.Clone(b.loadCommands),
+		Admitted:        slices.Clone(b.admitted),
+		Cancellations:   slices.Clone(b.cancellations),
+		ServerEvents:    convertAll(b.serverEvents, ServerEvent.String),
+		Answers:         slices.Clone(b.answers),
+		AnswerRate:      b.answerRate,
+		FreshFor:        b.freshFor,
+		CapacityHistory: b.capacityHistory.snapshot(),
+		Pruned:          b.pruned,
+		Subscribed:      b.subscribed,
 	}
 	for v := range b.servers.all {
 		s.Servers = append(s.Servers, b.serverSnapshot(v))
@@ -266,24 +289,25 @@
 // balancer keeps part of its state in them. It returns an error for an inconsistent snapshot.
 func Restore(s *Snapshot, requests map[RequestID]*Request) (*Balancer, error) {
 	r := &Balancer{
-		deployment:    s.Deployment,
-		random:        pcg(s.Random),
-		startedAt:     s.StartedAt,
-		functions:     map[FunctionID]*function{},
-		quotaDebt:     slices.Clone(s.QuotaDebt),
-		latencies:     s.Latencies.restore(),
-		loadTimes:     s.LoadTimes.restore(),
-		queueing:      s.Queueing.restore(),
-		loadCommands:  slices.Clone(s.LoadCommands),
-		admitted:      slices.Clone(s.Admitted),
-		cancellations: slices.Clone(s.Cancellations),
-		answers:       slices.Clone(s.Answers),
-		answerRate:    s.AnswerRate,
-		freshFor:      s.FreshFor,
-		pruned:        s.Pruned,
-		subscribed:    s.Subscribed,
-		execTimes:     convertAll(s.ExecTimes, Samples.restore),
-		deadlines:     convertAll(s.Deadlines, Samples.restore),
+		deployment:      s.Deployment,
+		random:          pcg(s.Random),
+		startedAt:       s.StartedAt,
+		functions:       map[FunctionID]*function{},
+		quotaDebt:       slices.Clone(s.QuotaDebt),
+		latencies:       s.Latencies.restore(),
+		loadTimes:       s.LoadTimes.restore(),
+		queueing:        s.Queueing.restore(),
+		loadCommands:    slices.Clone(s.LoadCommands),
+		admitted:        slices.Clone(s.Admitted),
+		cancellations:   slices.Clone(s.Cancellations),
+		answers:         slices.Clone(s.Answers),
+		answerRate:      s.AnswerRate,
+		freshFor:        s.FreshFor,
+		capacityHistory: s.CapacityHistory.restore(),
+		pruned:          s.Pruned,
+		subscribed:      s.Subscribed,
+		execTimes:       convertAll(s.ExecTimes, Samples.restore),
+		deadlines:       convertAll(s.Deadlines, Samples.restore),
 	}
 	classes, tenants := len(r.deployment.Classes), len(r.deployment.Quotas)
 	if len(r.execTimes) != classes || len(r.deadlines) != classes || len(r.quotaDebt) != tenants {
--- a/control/types.go
+++ b/control/types.go
@@ -160,9 +160,12 @@
 	RecheckAt    Micros        `json:"Again"`    // of Hold: call Route again at this time at the latest
 	RetryAfter   Micros        `json:"StayAway"` // of Reject: advice to the client
 	LoadCommands []LoadCommand `json:"Orders"`   // to be sent before the request
-	Reason       Reason        `json:"-" cbor:"-"`
+	reason       Reason
 }
 
+// Reason returns the condition that decided.
+func (d Decision) Reason() Reason { return d.reason }
+
 // LoadCommand asks a server to hold a number of replicas of a function. With 0 replicas it only asks how many are
 // loaded.
 type LoadCommand struct {
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -184,10 +184,10 @@
 		r.rank, r.recheckAt = d.Rank, d.RecheckAt
 		c.hold(r)
 	case control.Reject:
-		c.executor.Reject(r.req.ID, d.RetryAfter, d.Reason)
+		c.executor.Reject(r.req.ID, d.RetryAfter, d.Reason())
 		c.finish(r)
 	case control.Fail:
-		c.executor.Fail(r.req.ID, d.Reason)
+		c.executor.Fail(r.req.ID, d.Reason())
 		c.finish(r)
 	}
 }
--- a/internal/record/stored_form_test.go
+++ b/internal/record/stored_form_test.go
@@ -5,6 +5,7 @@
 
 	"github.com/fxamacker/cbor/v2"
 
+	"hollymast/control"
 	"hollymast/internal/core"
 	"hollymast/internal/golden"
 )
@@ -14,5 +15,6 @@
 func TestStoredForm(t *testing.T) {
 	golden.CheckType(t, "header-2.cbor", &Header{}, cbor.Marshal, decodeMode.Unmarshal)
 	golden.CheckType(t, "checkpoint-2.cbor", &core.Snapshot{}, cbor.Marshal, decodeMode.Unmarshal)
+	golden.CheckType(t, "capacity-2.cbor", &control.CapacityHistorySnapshot{}, cbor.Marshal, decodeMode.Unmarshal)
 	golden.CheckType(t, "turns-2.cbor", &stepBatch{}, cbor.Marshal, decodeMode.Unmarshal)
 }
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -225,12 +225,14 @@
 // stallRouters stops the processes of routers for a while.
 func (r *run) stallRouters(ctx context.Context, count int, span time.Duration) {
 	stalled := r.routers[:min(count, len(r.routers))]
+	from := time.Now()
 	for _, router := range stalled {
 		router.signal(syscall.SIGSTOP)
 	}
 	r.sleep(ctx, span)
 	for _, router := range stalled {
 		router.signal(syscall.SIGCONT)
+		r.ledger.stalls.add(stall{router.number, from, time.Now()})
 	}
 }
 
--- a/internal/soak/lag.go
+++ b/internal/soak/lag.go
@@ -12,6 +12,44 @@
 	late []lateness // only those above lagNoise
 }
 
+// stallLog holds for which times this process stopped routers.
+type stallLog struct {
+	mu     sync.Mutex
+	stalls []stall
+}
+
+// stall is a time for which a router's process was stopped.
+type stall struct {
+	router   int
+	from, to time.Time
+}
+
+// add records a stall that has ended.
+func (l *stallLog) add(s stall) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.stalls = append(l.stalls, s)
+}
+
+// within returns for how long a router was stopped between two times.
+func (l *stallLog) within(router int, from, to time.Time) (total time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, s := range l.stalls {
+		begin, end := s.from, s.to
+		if begin.Before(from) {
+			begin = from
+		}
+		if end.After(to) {
+			end = to
+		}
+		if s.router == router && end.After(begin) {
+			total += end.Sub(begin)
+		}
+	}
+	return total
+}
+
 // lateness is a tick that came late.
 type lateness struct {
 	at time.Time
--- a/internal/soak/ledger.go
+++ b/internal/soak/ledger.go
@@ -95,6 +95,7 @@
 	scenario  *Scenario
 	startedAt time.Time
 	lag       *lagMeter
+	stalls    stallLog
 
 	mu       sync.Mutex
 	requests map[uint64]*requestRecord
@@ -214,6 +215,9 @@
 func (l *ledger) judgeAnswer(r *requestRecord) {
 	const lateBy = 500 * time.Millisecond // an answer that is later counts as none
 	latest := r.deadline.Add(lateBy + slack + l.lag.before(r.deadline))
+	if len(r.answers) > 0 { // a process that is stopped answers later
+		latest = latest.Add(l.stalls.within(r.router, r.sentAt, r.answers[0].at))
+	}
 	switch n := len(r.answers); {
 	case n > 1:
 		l.reportLocked(r.answers[1].at, RuleOneAnswer, "request %016x got %d answers", r.id, n)
