Slow-start budget and capacity go by the servers' weights

Change: capacity is summed by weight, in whole thousandths so that no sum depends on its order, and a server's budget is its weight's part. With equal weights nothing changes.

--- a/control/balancer_test.go
+++ b/control/balancer_test.go
@@ -303,7 +303,7 @@
 	}
 	cold.StartedAt = at - second
 	r.rebuildIndex()
-	r.capacityHistory = capacityHistory{[]CapacityPeriod{{at - 10*second, at, 1.325}}, at} // as if it had been so throughout
+	r.capacityHistory = capacityHistory{periods: []CapacityPeriod{{at - 10*second, at, 1.325}}, asOf: at} // as if it had been so throughout
 	r.updateAnswerRate(at)
 	// 40 answers per second from 1 + 0.325 servers; 0.8 of 4 x 0.325 x 30.2 requests in a window of a second:
 	// 31.4.
--- a/control/endpoints.go
+++ b/control/endpoints.go
@@ -58,7 +58,9 @@
 // server is what the balancer knows and believes about one server.
 type server struct {
 	Endpoint
-	slowStartSince Micros // StartedAt while the server is in index.slowStart, else 0
+	slowStartSince  Micros      // StartedAt while the server is in index.slowStart, else 0
+	slowStartWeight milliWeight // as index.slowStart has it
+	readyWeight     milliWeight // as index.readyWeight has it
 
 	listed         bool        // named in the latest full list or in an update since
 	lastListed     Micros      // when it was last in the list, if it no longer is
--- a/control/index.go
+++ b/control/index.go
@@ -19,6 +19,8 @@
 	// May be ejected, backed off, or have its weight lowered by what is known of its load; in any order.
 	impaired []*server
 
+	readyWeight milliWeight // of all ready servers
+
 	maxWeight      float64        // no ready server has a larger weight
 	totalWeight    float64        // of all ready servers, approximately
 	changes        []weightChange // the latest
@@ -127,11 +129,21 @@
 		idx.noteChange(weightChange{s.Server, s.weight, weight})
 		s.weight = weight
 	}
+	idx.noteReadyWeight(s)
 	if s.State == Ready && b.capacity(idx.listedAt, s) != 1 {
-		idx.slowStart.set(s, s.StartedAt)
+		idx.slowStart.set(s, s.StartedAt, weightOf(s))
 	} else {
-		idx.slowStart.set(s, 0)
+		idx.slowStart.set(s, 0, 0)
+	}
+}
+
+// noteReadyWeight keeps the sum of the ready servers' weights.
+func (idx *index) noteReadyWeight(s *server) {
+	idx.readyWeight -= s.readyWeight
+	if s.readyWeight = 0; s.State == Ready {
+		s.readyWeight = weightOf(s)
 	}
+	idx.readyWeight += s.readyWeight
 }
 
 // setReady inserts a server into the list of ready ones, or removes it, by its state.
@@ -175,6 +187,7 @@
 	b.index = index{}
 	for s := range b.servers.all {
 		s.weight, s.present, s.inRemoved, s.impaired, s.functions, s.readyIndex = 0, false, false, false, nil, -1
+		s.readyWeight, s.slowStartSince, s.slowStartWeight = 0, 0, 0
 		if s.State != Removed {
 			b.index.listedAt = max(b.index.listedAt, s.lastListed)
 		}
--- a/control/plain_test.go
+++ b/control/plain_test.go
@@ -91,44 +91,67 @@
 	if seen < over/10 {
 		capacity *= over / 10 / float64(seen)
 	}
-	r.answerRate = float64(len(r.answers)) * 1e6 / capacity
+	if mean := referenceMeanWeight(r); mean > 0 {
+		history.meanWeight = mean
+	}
+	r.answerRate = float64(len(r.answers)) * 1e6 / capacity * history.meanWeight
 	r.freshFor = Micros(min(8e6, max(rareAnswers, 1e6/max(0.01, r.answerRate))))
 }
 
 // referenceRecordCapacity records the capacity of the ready servers up to now, as recordCapacity does.
 func referenceRecordCapacity(r *Balancer, now Micros) {
 	history := &r.capacityHistory
-	from, servers, ready := history.asOf, 0, false
-	for s := range r.servers.all {
+	from, servers := history.asOf, 0
+	for range r.servers.all {
 		servers++
-		ready = ready || s.State == Ready
 	}
+	mean := referenceMeanWeight(r)
 	switch {
+	case mean == 0:
+		if from > 0 {
+			history.asOf = max(from, now)
+		}
+		return
 	case from == 0:
 		if from = max(r.startedAt, now-10_000_000); now > from {
-			history.add(CapacityPeriod{from, now, max(1, float64(servers))})
+			history.add(CapacityPeriod{from, now, mean * float64(servers)})
 		}
-	case now > from && ready:
-		history.add(CapacityPeriod{from, now, max(1, referenceTotalCapacity(r, now))})
+	case now > from:
+		history.add(CapacityPeriod{from, now, max(mean, referenceTotalCapacity(r, now))})
 	}
 	history.asOf = max(history.asOf, now)
 }
 
+// referenceMeanWeight looks at each server.
+func referenceMeanWeight(r *Balancer) float64 {
+	sum, ready := milliWeight(0), 0
+	for s := range r.servers.all {
+		if s.State == Ready {
+			ready++
+			sum += weightOf(s)
+		}
+	}
+	if ready == 0 {
+		return 0
+	}
+	return float64(sum) / 1000 / float64(ready)
+}
+
 // referenceTotalCapacity looks at each server. It counts ages as integers, as totalCapacity does, for the same rounding.
 func referenceTotalCapacity(r *Balancer, now Micros) float64 {
-	full, starting := 0, 0
-	var age Micros
+	var full, starting milliWeight
+	var age weightTime
 	oneByOne := 0.0
 	for s := range r.servers.all {
 		if s.State != Ready {
 			continue
 		}
-		oneByOne += r.capacity(now, s)
+		oneByOne += r.capacity(now, s) * float64(weightOf(s)) / 1000
 		if s.StartedAt > 0 && now-s.StartedAt < r.deployment.SlowStartDuration {
-			starting++
-			age += max(0, now-s.StartedAt)
+			starting += weightOf(s)
+			age += weightOf(s).times(max(0, now-s.StartedAt))
 		} else {
-			full++
+			full += weightOf(s)
 		}
 	}
 	sum := float64(full)
@@ -136,7 +159,7 @@
 		initial := r.deployment.SlowStartInitial
 		sum += initial*float64(starting) + (1-initial)*float64(age)/float64(r.deployment.SlowStartDuration)
 	}
-	if math.Abs(sum-oneByOne) > 1e-9*oneByOne {
+	if sum /= 1000; math.Abs(sum-oneByOne) > 1e-9*oneByOne {
 		panic(fmt.Sprintf("capacity %v, one by one %v", sum, oneByOne))
 	}
 	return sum
--- a/control/slowstart.go
+++ b/control/slowstart.go
@@ -27,7 +27,7 @@
 	}
 	capacity := b.capacity(now, s)
 	const margin = 0.8 // for the variance between requests
-	budget := b.deployment.OverloadFactor * capacity * b.answerRate * float64(b.deployment.OverloadWindow) / 1e6
+	budget := b.deployment.OverloadFactor * capacity * b.answerRateOf(s) * float64(b.deployment.OverloadWindow) / 1e6
 	whole, fraction := math.Modf(margin * budget)
 	routers := float64(max(1, b.deployment.Routers))
 	most := slowStartTolerance(budget*routers) - whole*routers
@@ -95,16 +95,33 @@
 	return completeWithout - Micros(announcementLag*float64(slowStartDuration))
 }
 
-// totalCapacity returns the sum of the capacity of all ready servers. Its cost doesn't depend on their number.
+// milliWeight is a server's weight in thousandths. Sums of whole numbers don't depend on the order of their parts.
+type milliWeight int64
+
+// weightOf returns a server's weight. A listed weight beyond the bounds counts as the bound: no sum over thousands of servers
+// and the length of slow start overflows.
+func weightOf(s *server) milliWeight {
+	const largest = 10_000
+	return milliWeight(math.Round(1000 * min(max(0.1, s.Weight), largest)))
+}
+
+// meanWeight returns the mean weight of the ready servers; 0 if there is none.
+func (b *Balancer) meanWeight() float64 {
+	if len(b.index.ready) == 0 {
+		return 0
+	}
+	return float64(b.index.readyWeight) / 1000 / float64(len(b.index.ready))
+}
+
+// totalCapacity returns the capacity of all ready servers, in units of weight. Its cost doesn't depend on their number.
 func (b *Balancer) totalCapacity(now Micros) float64 {
 	set := &b.index.slowStart
 	duration := b.deployment.SlowStartDuration
 	set.expire(now - duration)
-	starting := len(set.servers)
-	initial := b.deployment.SlowStartInitial
-	sum := float64(len(b.index.ready) - starting)
-	if starting > 0 {
-		sum += initial*float64(starting) + (1-initial)*float64(set.totalAge(now))/float64(duration)
+	sum := float64(b.index.readyWeight - set.weight)
+	if len(set.servers) > 0 {
+		initial := b.deployment.SlowStartInitial
+		sum += initial*float64(set.weight) + (1-initial)*float64(set.totalAge(now))/float64(duration)
 	}
-	return sum
+	return sum / 1000
 }
--- a/control/slowstartset.go
+++ b/control/slowstartset.go
@@ -5,35 +5,50 @@
 	"slices"
 )
 
-// slowStartSet holds the ready servers in slow start, by the end of their slow start, with the sum of their ages: the
-// capacity of all of them together is had without visiting each. It is the same for a set however it came about.
+// slowStartSet holds the ready servers in slow start, by the end of their slow start, with the sum of their ages by weight:
+// the capacity of all of them together is had without visiting each. It is the same for a set however it came about, since
+// its sums are whole numbers.
 type slowStartSet struct {
-	servers []*server // by slowStartSince, then by ID
-	sum     Micros    // of slowStartSince - base
-	base    Micros    // near the start times, so that the sum of thousands doesn't overflow
+	servers []*server   // by slowStartSince, then by ID
+	weight  milliWeight // of all of them
+	sum     weightTime  // of their weight x (slowStartSince - base)
+	base    Micros      // near the start times, so that the sum of thousands doesn't overflow
 }
 
+// weightTime is a sum of milliWeight x Micros.
+type weightTime int64
+
+// times returns a weight times a duration.
+func (w milliWeight) times(d Micros) weightTime { return weightTime(w) * weightTime(d) }
+
 func bySlowStart(a, b *server) int {
 	return cmp.Or(cmp.Compare(a.slowStartSince, b.slowStartSince), byID(a, b))
 }
 
-// set inserts a server that started at the given time, or updates its place; 0 removes it.
-func (set *slowStartSet) set(s *server, startedAt Micros) {
-	if s.slowStartSince == startedAt {
+// set inserts a server that started at the given time, or updates its place and weight; 0 removes it.
+func (set *slowStartSet) set(s *server, startedAt Micros, weight milliWeight) {
+	if s.slowStartSince == startedAt && s.slowStartWeight == weight {
 		return
 	}
 	if s.slowStartSince != 0 {
 		set.servers = deleteSorted(set.servers, s, bySlowStart)
-		set.sum -= s.slowStartSince - set.base
+		set.drop(s)
 	}
-	if s.slowStartSince = startedAt; startedAt == 0 {
+	if s.slowStartSince, s.slowStartWeight = startedAt, weight; startedAt == 0 {
 		return
 	}
 	if len(set.servers) == 0 {
 		set.sum, set.base = 0, startedAt
 	}
 	set.servers = insertSorted(set.servers, s, bySlowStart)
-	set.sum += startedAt - set.base
+	set.weight += weight
+	set.sum += weight.times(startedAt - set.base)
+}
+
+// drop subtracts a server from the sums.
+func (set *slowStartSet) drop(s *server) {
+	set.weight -= s.slowStartWeight
+	set.sum -= s.slowStartWeight.times(s.slowStartSince - set.base)
 }
 
 // expire removes the servers that started at the given time or before.
@@ -41,19 +56,22 @@
 	n := 0
 	for n < len(set.servers) && set.servers[n].slowStartSince <= until {
 		s := set.servers[n]
-		set.sum -= s.slowStartSince - set.base
+		set.drop(s)
 		s.slowStartSince = 0
 		n++
 	}
 	set.servers = slices.Delete(set.servers, 0, n)
 }
 
-// totalAge returns the sum of the servers' ages. One that starts in the future, as by another machine's clock, counts 0.
-func (set *slowStartSet) totalAge(now Micros) Micros {
-	started, sum := len(set.servers), set.sum
+// totalAge returns the sum of the servers' ages by weight. One that starts in the future, as by another machine's clock,
+// counts 0.
+func (set *slowStartSet) totalAge(now Micros) weightTime {
+	started, weight, sum := len(set.servers), set.weight, set.sum
 	for started > 0 && set.servers[started-1].slowStartSince > now {
 		started--
-		sum -= set.servers[started].slowStartSince - set.base
+		s := set.servers[started]
+		weight -= s.slowStartWeight
+		sum -= s.slowStartWeight.times(s.slowStartSince - set.base)
 	}
-	return Micros(started)*(now-set.base) - sum
+	return weight.times(now-set.base) - sum
 }
--- a/control/slowstartset_test.go
+++ b/control/slowstartset_test.go
@@ -5,7 +5,7 @@
 	"testing"
 )
 
-// The set's total age is that of its servers one by one, whatever came and went, also with start times in the future and
+// The set's total age is that of its servers one by one, by their weights, whatever came and went, also with start times in the future and
 // with as many servers as a large fleet has.
 func TestSlowStartSetIsAsOneByOne(t *testing.T) {
 	const duration = 10 * second
@@ -14,7 +14,7 @@
 	var set slowStartSet
 	servers := make([]*server, 6400)
 	for i := range servers {
-		servers[i] = &server{Endpoint: Endpoint{Server: ServerID(i + 1)}}
+		servers[i] = &server{Endpoint: Endpoint{Server: ServerID(i + 1), Weight: 0.5 + 4*random.Float64()}}
 	}
 	starts := map[*server]Micros{}
 	now := Micros(epoch)
@@ -22,24 +22,24 @@
 		now += Micros(random.Int64N(2000))
 		s := servers[random.IntN(len(servers))]
 		if random.IntN(4) == 0 {
-			set.set(s, 0)
+			set.set(s, 0, 0)
 			delete(starts, s)
 		} else {
 			at := now - Micros(random.Int64N(int64(duration))) + Micros(random.Int64N(2))*second
-			set.set(s, at)
+			set.set(s, at, weightOf(s))
 			starts[s] = at
 		}
 		if step%100 != 0 {
 			continue
 		}
 		set.expire(now - duration)
-		var want Micros
+		var want weightTime
 		for s, at := range starts {
 			if at <= now-duration {
 				delete(starts, s)
 				continue
 			}
-			want += max(0, now-at)
+			want += weightOf(s).times(max(0, now-at))
 		}
 		if got := set.totalAge(now); got != want || len(set.servers) != len(starts) {
 			t.Fatalf("step %d: age %d of %d servers, want %d of %d", step, got, len(set.servers), want, len(starts))
--- a/control/snapshot.go
+++ b/control/snapshot.go
@@ -38,20 +38,22 @@
 type CapacityHistorySnapshot struct {
 	Periods []CapacityPeriod `json:"Periods"` // in order of time
 	AsOf    Micros           `json:"AsOf"`
+	// Of the ready servers when the answer rate was last computed.
+	MeanWeight float64 `json:"Weight"`
 }
 
 func (h *capacityHistory) snapshot() *CapacityHistorySnapshot {
 	if h.asOf == 0 {
 		return nil
 	}
-	return &CapacityHistorySnapshot{slices.Clone(h.periods), h.asOf}
+	return &CapacityHistorySnapshot{slices.Clone(h.periods), h.asOf, h.meanWeight}
 }
 
 func (s *CapacityHistorySnapshot) restore() capacityHistory {
 	if s == nil {
 		return capacityHistory{}
 	}
-	return capacityHistory{slices.Clone(s.Periods), s.AsOf}
+	return capacityHistory{slices.Clone(s.Periods), s.AsOf, s.MeanWeight}
 }
 
 // ServerSnapshot is the state of one server.
--- a/control/throughput.go
+++ b/control/throughput.go
@@ -8,8 +8,8 @@
 // requests per second.
 const answerWindow = 10_000_000
 
-// updateAnswerRate updates answerRate, the answers per second that this router gets from a server at full capacity,
-// and freshFor, how long an observation of a server stays valid: about the time until its next answer is due.
+// updateAnswerRate updates answerRate, the answers per second that this router gets from a server of mean weight at full
+// capacity, and freshFor, how long an observation of a server stays valid: about the time until its next answer is due.
 //
 // Answers and capacity are those of the same servers over the same time. To divide by the present capacity guards against
 // nothing and does harm: where most servers have just begun to drain, the few that are left would be credited with the answers
@@ -25,10 +25,23 @@
 	span, serverTime := history.totals()
 	const shortest = answerWindow / 10 // a shorter time, after a start, counts as so long
 	serverTime *= max(1, shortest/float64(span))
-	b.answerRate = float64(len(b.answers)) * 1e6 / serverTime
+	if mean := b.meanWeight(); mean > 0 {
+		history.meanWeight = mean
+	}
+	b.answerRate = float64(len(b.answers)) * 1e6 / serverTime * history.meanWeight
 	b.freshFor = Micros(min(maxFreshFor, max(rareAnswers, 1e6/max(0.01, b.answerRate))))
 }
 
+// answerRateOf returns the answers per second that this router gets from a server at full capacity, by its weight. It guards
+// against overload of the smaller servers of a fleet.
+func (b *Balancer) answerRateOf(s *server) float64 {
+	mean := b.capacityHistory.meanWeight
+	if mean == 0 {
+		return b.answerRate
+	}
+	return b.answerRate * float64(weightOf(s)) / 1000 / mean
+}
+
 // countAnswer counts an answer from a server. One that drains is no part of the capacity, and its answers don't count.
 func (b *Balancer) countAnswer(now Micros, s *server) {
 	if s.State == Ready {
@@ -39,11 +52,12 @@
 // capacityHistory is the capacity of the ready servers over the time for which answers count. Times in which none was ready are
 // left out: they say nothing of what a server does, and what was known before them still holds.
 type capacityHistory struct {
-	periods []CapacityPeriod // in order of time
-	asOf    Micros           // until when it is complete; 0: it is not known for the time before
+	periods    []CapacityPeriod // in order of time
+	asOf       Micros           // until when it is complete; 0: it is not known for the time before
+	meanWeight float64          // of the ready servers when the answer rate was last computed; 0: it was not yet
 }
 
-// CapacityPeriod is a time in which servers were ready, and their mean capacity, in servers at full capacity.
+// CapacityPeriod is a time in which servers were ready, and their mean capacity, in units of weight.
 type CapacityPeriod struct {
 	From     Micros  `json:"From"`
 	To       Micros  `json:"To"`
@@ -53,18 +67,22 @@
 // recordCapacity records the capacity up to now. It must be called before each change of the endpoint list.
 func (b *Balancer) recordCapacity(now Micros) {
 	history := &b.capacityHistory
-	from, capacity := history.asOf, 0.0
-	if len(b.index.ready) > 0 {
-		// Includes ejected and overloaded servers: leaving them out would make the rest look more capable.
-		capacity = max(1, b.totalCapacity(now))
+	mean := b.meanWeight()
+	if len(b.index.ready) == 0 {
+		if history.asOf != 0 {
+			history.asOf = max(history.asOf, now)
+		}
+		return
 	}
+	// Includes ejected and overloaded servers: leaving them out would make the rest look more capable.
+	from, capacity := history.asOf, max(mean, b.totalCapacity(now))
 	if from == 0 {
 		// Restored with answers, but without the capacity of their time: all servers known now may have given them. That
 		// guards against too large a budget after a restart into a smaller fleet; it is too small while these answers count.
-		from, capacity = max(b.startedAt, now-answerWindow), float64(max(1, b.servers.len))
+		from, capacity = max(b.startedAt, now-answerWindow), mean*float64(b.servers.len)
 	}
 	history.asOf = max(history.asOf, now)
-	if now > from && capacity > 0 {
+	if now > from {
 		history.add(CapacityPeriod{from, now, capacity})
 	}
 }
@@ -84,7 +102,7 @@
 	h.periods = append(h.periods, period)
 }
 
-// serverTime returns the capacity over the period, in microseconds of a server at full capacity.
+// serverTime returns the capacity over the period, in microseconds x weight.
 func (p CapacityPeriod) serverTime() float64 { return p.Capacity * float64(p.To-p.From) }
 
 // totals returns the length of all periods together, and the capacity over them.
--- a/control/throughput_test.go
+++ b/control/throughput_test.go
@@ -172,3 +172,27 @@
 	d.b = older
 	d.wantRate("an older checkpoint")
 }
+
+// A server's budget in slow start follows its weight: the fleet's answers are mostly those of its large servers.
+func TestSlowStartBudgetFollowsWeight(t *testing.T) {
+	const large, small, started = 1, 2, 3 // IDs; the third starts
+	for weight, want := range map[float64]float64{4: 4, 1: 1} {
+		b := New(at, 1, deployment())
+		b.UpdateEndpoints(at, FullUpdate, []Endpoint{{Server: large, State: Ready, Weight: 4}, {Server: small, State: Ready, Weight: 1}})
+		const answersPerWeight = 10 // a second
+		for i := range Micros(10 * 5 * answersPerWeight) {
+			b.answers = append(b.answers, at+i*second/(5*answersPerWeight))
+		}
+		now := at + 10*second
+		b.Maintain(now)
+		b.UpdateEndpoints(now, IncrementalUpdate, []Endpoint{{Server: started, State: Ready, Weight: weight, StartedAt: now}})
+		s := b.servers.find(started)
+		if got := b.answerRateOf(s); math.Abs(got-want*answersPerWeight) > 0.1 {
+			t.Errorf("weight %v: %.2f answers a second, want %v", weight, got, want*answersPerWeight)
+		}
+		// 0.8 of 4 x 0.25 of that in a second.
+		if got, budget := b.slowStartBudget(now, s), int(0.8*want*answersPerWeight); got != budget {
+			t.Errorf("weight %v: a budget of %d, want %d", weight, got, budget)
+		}
+	}
+}
