Platform: the deadline of a request that came during a stall counts from then

The deadline that servers are told counted from the earliest arrival already. Change: the balancer gets the same deadline; Request.Timeout tells it how long the client waits in all, so that such a request is not taken for an unmarked retry (else TestDrainDuringStall saw 6 of 12 rejected after a stall of 5 s). The soak's judge no longer excuses lateness by the length of a stall: an answer is due by the deadline and half a second, or 0.3 s after the stall's end where that is later. Stored requests have one more, optional key, which only the platform's router sets; it records nothing.

--- a/cmd/hollymast/stall_test.go
+++ b/cmd/hollymast/stall_test.go
@@ -95,3 +95,31 @@
 		}
 	}
 }
+
+// TestAnswerInTimeAfterStall guards against a deadline that counts from when a request was read, though it came while the process was
+// stalled: a request that no server answers still gets its final answer before its client's patience ends.
+func TestAnswerInTimeAfterStall(t *testing.T) {
+	t.Parallel()
+	const (
+		timeout = 8900 * time.Millisecond // of platformtest's clients
+		stall   = time.Second
+		slack   = 50 * time.Millisecond
+	)
+	server := platformtest.NewModelServer(t)
+	ready := platformtest.Event(1, "s-0", server.Address(), "ready")
+	plane := platformtest.NewDiscovery(t, "127.0.0.1:0", nil, ready)
+	router := startRouter(t, platformtest.Deployment{Grace: 4 * time.Second}.Configuration(plane.Address(), ready))
+	client := router.waitReady()
+	server.Hold()
+	router.suspend()
+	sentAt := time.Now()
+	client.Call(1, 1)
+	time.Sleep(stall)
+	router.resume()
+	if client.Answer() {
+		t.Error("served, though the server holds its answers")
+	}
+	if took := time.Since(sentAt); took > timeout+slack {
+		t.Errorf("answered after %v, where its client waits %v", took, timeout)
+	}
+}
--- a/control/quota.go
+++ b/control/quota.go
@@ -1,5 +1,7 @@
 package control
 
+import "cmp"
+
 // This file decides which of a tenant's requests exceed its quota.
 
 // exceedsQuota reports whether a request with a short deadline exceeds its tenant's configured quota, as far as
@@ -27,7 +29,7 @@
 // left. The cost: it hurts clients whose deadlines are short by design, so for clients that mark retries only the
 // mark counts.
 func (b *Balancer) firstSentAt(now Micros, req *Request) Micros {
-	usualTimeouts, timeout := &b.deadlines[req.Class], req.Deadline-now
+	usualTimeouts, timeout := &b.deadlines[req.Class], cmp.Or(req.Timeout, req.Deadline-now)
 	usualTimeouts.add(now, timeout)
 	// The 30 ms tolerate the time on the way here, a few milliseconds.
 	if (!b.deployment.MarksRetries || req.RetriesUnmarked) && timeout < quantile(usualTimeouts.since(0), 0.8)-30_000 {
--- a/control/requests.go
+++ b/control/requests.go
@@ -26,6 +26,9 @@
 	Deadline        Micros     `json:"Patience"` // when its client gives up
 	IsRetry         bool       `json:"Repeat"`   // its client marked it as a retry
 	RetriesUnmarked bool       `json:"Unmarked"` // its client never does, see Deployment.MarksRetries
+	// How long its client waits in all, where that is known apart from Deadline - ArrivedAt: a request that came while the
+	// router was stalled has a deadline before that. 0: it is not.
+	Timeout Micros `json:"Timeout,omitempty" golden:"joined"`
 
 	Attempts    []Attempt `json:"Executions"`
 	heldSince   Micros
--- a/internal/soak/lag.go
+++ b/internal/soak/lag.go
@@ -31,23 +31,16 @@
 	l.stalls = append(l.stalls, s)
 }
 
-// within returns for how long a router was stopped between two times.
-func (l *stallLog) within(router int, from, to time.Time) (total time.Duration) {
+// lastEnd returns when the last stall of a router ended that reaches into the time between two others; zero: there was none.
+func (l *stallLog) lastEnd(router int, from, to time.Time) (end time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for _, s := range l.stalls {
-		begin, end := s.from, s.to
-		if begin.Before(from) {
-			begin = from
-		}
-		if end.After(to) {
-			end = to
-		}
-		if s.router == router && end.After(begin) {
-			total += end.Sub(begin)
+		if s.router == router && s.from.Before(to) && s.to.After(from) && s.to.After(end) {
+			end = s.to
 		}
 	}
-	return total
+	return end
 }
 
 // lateness is a tick that came late.
--- a/internal/soak/ledger.go
+++ b/internal/soak/ledger.go
@@ -211,12 +211,15 @@
 	slices.SortStableFunc(l.breaks, func(a, b Break) int { return cmp.Compare(a.At, b.At) })
 }
 
+// afterStall is within how long after a stall a router answers what is due: it reads what came meanwhile, and takes a step.
+const afterStall = 300 * time.Millisecond
+
 // judgeAnswer judges one request. The lock is held.
 func (l *ledger) judgeAnswer(r *requestRecord) {
 	const lateBy = 500 * time.Millisecond // an answer that is later counts as none
 	latest := r.deadline.Add(lateBy + slack + l.lag.before(r.deadline))
-	if len(r.answers) > 0 { // a process that is stopped answers later
-		latest = latest.Add(l.stalls.within(r.router, r.sentAt, r.answers[0].at))
+	if over := l.stalls.lastEnd(r.router, r.sentAt, latest).Add(afterStall); over.After(latest) {
+		latest = over // a process that is stopped can answer only then
 	}
 	switch n := len(r.answers); {
 	case n > 1:
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -380,7 +380,10 @@
 
 // targetState returns how discovery lists a server.
 func (s *modelServer) target(state string, startedAt time.Time) discovery.EndpointMessage {
-	message := discovery.EndpointMessage{UID: s.uid, Endpoint: s.address, Zone: s.zone, Cell: s.cell, Weight: float64(s.run.scenario.Cores), State: state}
+	message := discovery.EndpointMessage{UID: s.uid, Endpoint: s.address, Zone: s.zone, Cell: s.cell, Weight: 1, State: state}
+	if s.run.scenario.Weighted {
+		message.Weight = s.speed * float64(s.run.scenario.Cores)
+	}
 	if !startedAt.IsZero() {
 		message.StartedAtMS = startedAt.UnixMilli()
 	}
--- a/internal/soak/scenario.go
+++ b/internal/soak/scenario.go
@@ -25,6 +25,7 @@
 	Mean      time.Duration // mean execution time on a server of speed 1
 	Cores     int           // of a server: how many requests it executes at once
 	SlowSpeed float64       // of every second server; the others' is 1
+	Weighted  bool          // the endpoint list states how much a server can do
 	Capacity  int           // functions that a server holds loaded
 	Use       float64       // the part of all servers' capacity that clients ask for
 
@@ -142,7 +143,7 @@
 		Routers: countBetween(random, 1, 5), Servers: countBetween(random, 4, 16), Zones: countBetween(random, 1, 3),
 		Functions: countBetween(random, 10, 50), Load: spanBetween(random, 100*time.Millisecond, 500*time.Millisecond),
 		Mean: spanBetween(random, 30*time.Millisecond, 90*time.Millisecond), Cores: countBetween(random, 2, 4),
-		SlowSpeed: between(random, 0.55, 1), Use: between(random, 0.35, 0.6),
+		SlowSpeed: between(random, 0.5, 1), Use: between(random, 0.35, 0.6),
 		Grace:     spanBetween(random, 400*time.Millisecond, 800*time.Millisecond),
 		SlowStart: spanBetween(random, 7*time.Second, 17*time.Second), SlowStartFrom: between(random, 0.25, 0.45),
 		OverloadWindow: []time.Duration{time.Second, time.Second, 500 * time.Millisecond, 2 * time.Second}[random.IntN(4)],
@@ -155,6 +156,7 @@
 		s.LoadWindow, s.LoadBase, s.LoadPerRequest = 5*time.Second, float64(4+random.IntN(8)), between(random, 0.2, 0.5)
 	}
 	s.Faults = drawFaults(random, s)
+	s.Weighted = random.IntN(2) == 0
 	return s
 }
 
