Slow start: where nothing has answered for long, routers take turns at one request

Change: a router whose budget is below one request takes its turn at one request of all routers a window; a server bears three whatever its budget. TestTraceGivesServerViews has the one request sent that its reason is about.

--- a/control/slowstart.go
+++ b/control/slowstart.go
@@ -31,7 +31,11 @@
 	whole, fraction := math.Modf(margin * budget)
 	routers := float64(max(1, b.deployment.Routers))
 	most := slowStartTolerance(budget*routers) - whole*routers
-	share := turnShare(fraction*routers, estimateMargin*most) / routers
+	wanted := fraction * routers
+	if whole == 0 {
+		wanted = max(wanted, 1) // of all routers, in turns: without answers there would never be any
+	}
+	share := turnShare(wanted, estimateMargin*most) / routers
 	// Turns follow the server's age, which all routers compute alike: wall clocks may have been set between their starts.
 	turn := max(0, now-s.StartedAt) / b.deployment.OverloadWindow
 	if b.turnPosition(s.Server, turn) < share {
--- a/control/slowstart_test.go
+++ b/control/slowstart_test.go
@@ -166,3 +166,18 @@
 		}
 	}
 }
+
+// Where nothing has answered for long, as after an outage of all servers, those that return in slow start still get a request now
+// and then, and no more: what answers there were follows from it.
+func TestSlowStartIsNotStarvedWithoutAnswers(t *testing.T) {
+	for _, routers := range []int{1, 2, 3, 6, 30, 300} {
+		d := day{routers: routers, calls: 0, window: second}
+		most, at, n := d.worstWindow()
+		if most > 1 {
+			t.Errorf("%d routers: %d sent in the window that ends at an age of %.2f s, where 3 are borne", routers, n, float64(at)/1e6)
+		}
+		if n == 0 {
+			t.Errorf("%d routers: nothing was sent", routers)
+		}
+	}
+}
--- a/control/trace_test.go
+++ b/control/trace_test.go
@@ -47,7 +47,7 @@
 	r.servers.at(2).ejected, r.servers.at(2).probeAt = true, at+1
 	r.servers.at(3).backoffUntil = at + 1
 	r.servers.at(4).StartedAt = at - 1
-	r.servers.at(4).slowStartSends = make([]Micros, 0)
+	r.servers.at(4).slowStartSends = []Micros{at - 1} // all that it gets where nothing has answered
 	var got Explanation
 	r.SetTrace(&Trace{OnDecision: func(e Explanation) { got = e }})
 	r.Route(at, newJob(1))
