--- a/cmd/hollymast/slowstart_test.go
+++ b/cmd/hollymast/slowstart_test.go
@@ -47,7 +47,7 @@
 func returnWhileOthersDrain(routers int, seed uint64) *soak.Scenario {
 	return &soak.Scenario{
 		Seed: seed, Length: 13 * time.Second, Routers: routers, Servers: 12, Zones: 1, Functions: 30, Load: 200 * time.Millisecond,
-		Mean: 50 * time.Millisecond, Cores: 2, SlowSpeed: 1, Capacity: 10, Use: 0.5,
+		Mean: 50 * time.Millisecond, Cores: 2, SlowSpeed: 1, Capacity: 10, Use: 0.5, WorkSpread: 0.4, ServerIdle: 15 * time.Second,
 		Classes: []soak.Class{{Name: "again", Semantics: soak.Idempotent, Objective: time.Second, Deadline: 4 * time.Second, Share: 1}},
 		Grace:   500 * time.Millisecond, SlowStart: 12 * time.Second, SlowStartFrom: 0.3, OverloadWindow: time.Second, OverloadFactor: 4,
 		Faults: []soak.Fault{
--- a/internal/soak/clients.go
+++ b/internal/soak/clients.go
@@ -40,8 +40,7 @@
 // How clients behave.
 const (
 	clientsPerRouter = 4
-	maxOpen          = 32 // on a connection, by the protocol
-	cancelShare      = 0.02
+	maxOpen          = 32    // on a connection, by the protocol
 	departShare      = 0.002 // close their connection with requests open
 	retryShare       = 0.7   // of rejected requests, sent again after the pause that was asked for
 	maxRetries       = 2
@@ -135,7 +134,7 @@
 	run := cc.client.run
 	id := run.newRequestID()
 	body := bytes.Repeat([]byte{byte(id)}, bodySize)
-	fields := map[string]string{"ref": fmt.Sprintf("%016x", id), "allow": fmt.Sprint(draft.class.Deadline.Milliseconds()), "project": tenant,
+	fields := map[string]string{"ref": fmt.Sprintf("%016x", id), "allow": fmt.Sprint(draft.timeout.Milliseconds()), "project": tenant,
 		"lookup": fmt.Sprintf("%016x", draft.function), "spec": "memory_mb:512;lanes:2"}
 	if draft.class.Semantics == IdempotentByKey {
 		fields["replay"] = draft.key
@@ -156,15 +155,15 @@
 	}
 	now := time.Now()
 	r := &requestRecord{requestDraft: draft, id: id, body: body, retry: retry, router: cc.router.number, sentAt: now,
-		deadline: now.Add(draft.class.Deadline)}
+		deadline: now.Add(draft.timeout)}
 	run.ledger.add(r)
 	if _, err := cc.conn.Write(text); err != nil {
 		run.ledger.noteDeparted(r, now) // not taken
 		return
 	}
 	cc.open[number] = r
-	if run.chance() < cancelShare {
-		after := time.Duration(run.chance() * float64(draft.class.Deadline))
+	if run.chance() < run.scenario.CancelShare {
+		after := time.Duration(run.chance() * float64(draft.timeout))
 		time.AfterFunc(after, func() { cc.cancel(number, r) })
 	}
 }
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -33,15 +33,7 @@
 	case ReplaceServers:
 		r.replaceServers(ctx, f.Count, f.For)
 	case HangServers:
-		servers := r.take(f.Count, stateReady)
-		for _, s := range servers {
-			s.hang(true)
-		}
-		r.sleep(ctx, f.For)
-		for _, s := range servers {
-			s.hang(false)
-		}
-		r.giveBack(servers...)
+		r.hangServers(ctx, r.take(f.Count, stateReady), f.For)
 	case ResetConns:
 		servers := r.take(f.Count, stateReady)
 		for _, s := range servers {
@@ -66,6 +58,10 @@
 		r.killSome(f.Count)
 	case StallRouters:
 		r.stallRouters(ctx, f.Count, f.For)
+	case ThrottleRouters:
+		r.throttleRouters(ctx, f.Count, f.For)
+	case PartitionZone:
+		r.partitionZone(ctx, f.For)
 	case Burst, Quiet:
 		r.changeTraffic(ctx, f)
 	}
@@ -236,6 +232,48 @@
 	}
 }
 
+// throttleRouters lets the processes of routers run for a part of the time only, as on a share of a core.
+func (r *run) throttleRouters(ctx context.Context, count int, span time.Duration) {
+	const runs, stopped = 25 * time.Millisecond, 75 * time.Millisecond
+	throttled := r.routers[:min(count, len(r.routers))]
+	for end := time.Now().Add(span); time.Now().Before(end) && ctx.Err() == nil; {
+		for _, router := range throttled {
+			router.signal(syscall.SIGSTOP)
+		}
+		r.sleep(ctx, stopped)
+		for _, router := range throttled {
+			router.signal(syscall.SIGCONT)
+		}
+		r.sleep(ctx, runs)
+	}
+}
+
+// hangServers keeps servers from answering for a while.
+func (r *run) hangServers(ctx context.Context, servers []*serverSlot, span time.Duration) {
+	for _, s := range servers {
+		s.hang(true)
+	}
+	r.sleep(ctx, span)
+	for _, s := range servers {
+		s.hang(false)
+	}
+	r.giveBack(servers...)
+}
+
+// partitionZone keeps all servers of a zone from answering for a while.
+func (r *run) partitionZone(ctx context.Context, span time.Duration) {
+	zone := zoneName(int(r.chance() * float64(r.scenario.Zones)))
+	var cut []*serverSlot
+	for _, s := range r.take(0, stateReady) {
+		if s.zone == zone {
+			cut = append(cut, s)
+		} else {
+			r.giveBack(s)
+		}
+	}
+	r.hangServers(ctx, cut, span)
+}
+
 // changeTraffic changes the request rate for a while.
 func (r *run) changeTraffic(ctx context.Context, f Fault) {
 	factor := burstFactor
--- a/internal/soak/ledger.go
+++ b/internal/soak/ledger.go
@@ -68,6 +68,7 @@
 // requestDraft is what is drawn of a request.
 type requestDraft struct {
 	class    *Class
+	timeout  time.Duration // for which its client waits
 	function uint64
 	work     time.Duration // execution time on a server of speed 1
 	key      string        // idempotency key
--- a/internal/soak/modelserver.go
+++ b/internal/soak/modelserver.go
@@ -2,8 +2,10 @@
 
 import (
 	"bufio"
+	"errors"
 	"fmt"
 	"net"
+	"os"
 	"strconv"
 	"strings"
 	"sync"
@@ -174,7 +176,7 @@
 	}()
 	in := bufio.NewReader(conn)
 	for {
-		if _, err := in.Peek(1); err != nil {
+		if !s.awaitFrame(link, in) {
 			return
 		}
 		at := time.Now()
@@ -186,6 +188,24 @@
 	}
 }
 
+// awaitFrame waits for the first byte of a frame; false: the connection has ended, or was idle for too long.
+func (s *modelServer) awaitFrame(link *serverLink, in *bufio.Reader) bool {
+	for {
+		link.conn.SetReadDeadline(time.Now().Add(s.run.scenario.ServerIdle))
+		_, err := in.Peek(1)
+		if err == nil {
+			link.conn.SetReadDeadline(time.Time{})
+			return true
+		}
+		s.mu.Lock()
+		open := len(link.jobs)
+		s.mu.Unlock()
+		if !errors.Is(err, os.ErrDeadlineExceeded) || open == 0 {
+			return false
+		}
+	}
+}
+
 // handle handles a frame whose first byte came at a time.
 func (s *modelServer) handle(link *serverLink, frame platformtest.Frame, at time.Time) {
 	switch frame.Code {
@@ -271,7 +291,9 @@
 		return
 	}
 	if !time.Now().Before(j.request.deadline) {
-		s.answerLocked(j, overCode, "")
+		if !s.run.scenario.DropsExpired {
+			s.answerLocked(j, overCode, "")
+		}
 		return
 	}
 	f := s.functions[j.request.function]
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -209,7 +209,8 @@
 // drawFunctions draws the functions: how often each is called, and what it costs.
 func (r *run) drawFunctions() {
 	random := newRandom(r.scenario.Seed, "functions")
-	const exponent, offset, spread = 1.3, 3, 0.3 // of a Zipf law; spread of execution times
+	const exponent, offset = 1.3, 3 // of a Zipf law
+	spread := r.scenario.WorkSpread
 	sum, workSum := 0.0, 0.0
 	for n := range r.scenario.Functions {
 		share := math.Pow(float64(n)+offset, -exponent)
@@ -233,9 +234,13 @@
 		function++
 	}
 	class := r.drawClass(random)
-	const variation = 0.5 // of one function's execution times, normal in the logarithm
+	variation := r.scenario.WorkSpread
 	factor := math.Exp(variation*random.NormFloat64() - variation*variation/2)
-	return requestDraft{class: class, function: functionID(function), key: fmt.Sprintf("%016x%016x", random.Uint64(), random.Uint64()),
+	timeout := class.Deadline
+	if random.Float64() < r.scenario.ShortShare {
+		timeout = max(time.Millisecond, time.Duration(0.2*random.Float64()*float64(timeout)))
+	}
+	return requestDraft{class: class, timeout: timeout.Round(time.Millisecond), function: functionID(function), key: fmt.Sprintf("%016x%016x", random.Uint64(), random.Uint64()),
 		work: time.Duration(float64(r.scenario.Mean) * r.work[function] * factor)}
 }
 
--- a/internal/soak/scenario.go
+++ b/internal/soak/scenario.go
@@ -39,6 +39,12 @@
 	LoadBase       float64
 	LoadPerRequest float64
 
+	WorkSpread   float64       // of execution times, of a function's and of its requests': of their logarithms
+	CancelShare  float64       // of requests that their clients cancel
+	ShortShare   float64       // of requests that come with a small part of their class's deadline left
+	DropsExpired bool          // servers drop requests whose time is up without a word
+	ServerIdle   time.Duration // after which servers close connections that are idle
+
 	Crowd  bool // hundreds of connections that send nothing, or what can't be read
 	Faults []Fault
 }
@@ -96,6 +102,10 @@
 	KillRouters FaultKind = "kill-routers"
 	// StallRouters stops the processes of Count routers for For.
 	StallRouters FaultKind = "stall-routers"
+	// ThrottleRouters lets the processes of Count routers run for a quarter of each 0.1 s only, for For.
+	ThrottleRouters FaultKind = "throttle-routers"
+	// PartitionZone keeps all servers of a zone from answering for For.
+	PartitionZone FaultKind = "partition-zone"
 	// Burst multiplies the traffic for For.
 	Burst FaultKind = "burst"
 	// Quiet leaves almost no traffic for For.
@@ -140,7 +150,7 @@
 	random := newRandom(seed, "scenario")
 	s := &Scenario{
 		Seed: seed, Length: length,
-		Routers: countBetween(random, 1, 5), Servers: countBetween(random, 4, 16), Zones: countBetween(random, 1, 3),
+		Routers: countBetween(random, 1, 6), Servers: countBetween(random, 3, 20), Zones: countBetween(random, 1, 3),
 		Functions: countBetween(random, 10, 50), Load: spanBetween(random, 100*time.Millisecond, 500*time.Millisecond),
 		Mean: spanBetween(random, 30*time.Millisecond, 90*time.Millisecond), Cores: countBetween(random, 2, 4),
 		SlowSpeed: between(random, 0.5, 1), Use: between(random, 0.35, 0.6),
@@ -157,6 +167,12 @@
 	}
 	s.Faults = drawFaults(random, s)
 	s.Weighted = random.IntN(2) == 0
+	s.WorkSpread, s.CancelShare = between(random, 0.2, 0.7), between(random, 0.01, 0.1)
+	s.ShortShare, s.DropsExpired = between(random, 0, 0.1), random.IntN(2) == 0
+	s.ServerIdle = spanBetween(random, 2*time.Second, 15*time.Second)
+	if random.IntN(5) == 0 { // overload
+		s.Use = between(random, 0.8, 1.2)
+	}
 	return s
 }
 
@@ -207,6 +223,8 @@
 		func() { add(RestartRouters, s.Routers, 0) },
 		func() { add(KillRouters, some(s.Routers), 0) },
 		func() { add(StallRouters, some(s.Routers), 2*time.Second) },
+		func() { add(ThrottleRouters, some(s.Routers), 8*time.Second) },
+		func() { add(PartitionZone, 0, 8*time.Second) },
 		func() { add(Burst, 0, 6*time.Second) },
 		func() { add(Quiet, 0, 15*time.Second) },
 	}
--- /dev/null
+++ b/internal/soak/scenario_test.go
@@ -0,0 +1,46 @@
+package soak
+
+import (
+	"encoding/json"
+	"reflect"
+	"testing"
+	"time"
+
+	"hollymast/internal/config"
+	"hollymast/internal/simproto"
+)
+
+// A seed always draws the same, other seeds draw others, and routers take the settings.
+func TestDraw(t *testing.T) {
+	const length = 30 * time.Second
+	kinds := map[FaultKind]bool{}
+	for seed := range uint64(200) {
+		s := Draw(seed, length)
+		if !reflect.DeepEqual(s, Draw(seed, length)) {
+			t.Errorf("seed %d draws differently", seed)
+		}
+		for _, fault := range s.Faults {
+			kinds[fault.Kind] = true
+			if fault.At < 0 || fault.At > length {
+				t.Errorf("seed %d: %v", seed, fault)
+			}
+		}
+		text, err := json.Marshal(s.settings(0))
+		if err != nil {
+			t.Fatal(err)
+		}
+		boot, err := simproto.ReadBootInfo(text)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if deployment, err := config.Deployment(boot); err != nil || deployment.Routers != s.Routers || len(deployment.Classes) != len(s.Classes) {
+			t.Errorf("seed %d: %+v, %v", seed, deployment, err)
+		}
+	}
+	if len(kinds) != 17 {
+		t.Errorf("%d kinds of faults were drawn, want all 17: %v", len(kinds), kinds)
+	}
+	if reflect.DeepEqual(Draw(1, length), Draw(2, length)) {
+		t.Error("two seeds draw the same")
+	}
+}
--- a/internal/soak/settings.go
+++ b/internal/soak/settings.go
@@ -29,7 +29,7 @@
 	}
 	return object{
 		"balancers": s.Routers, "self_index": router, "tick": 4000, "zones": zones, "zone": router % s.Zones,
-		"ceilings": object{"cancel": true, "conn_idle": 15_000_000, "connect_timeout": 250_000, "max_retry_after": 2_000_000,
+		"ceilings": object{"cancel": true, "conn_idle": s.ServerIdle.Microseconds(), "connect_timeout": 250_000, "max_retry_after": 2_000_000,
 			"retry_after": true, "streams_per_conn": 100, "try_limit": 3},
 		"classes": classes, "clients": object{"marks_retry": true},
 		"contract": object{"stop_sending_within": s.Grace.Microseconds(), "cold": s.SlowStart.Microseconds(), "cold_from": s.SlowStartFrom,
