Before any server was ready, an observation stays valid for as long as before

Cause, found on rereading: the mend of the slow-start budget left freshFor at zero until the first period of ready servers had passed, 0.2 s into a run, where it had been 8 s. Change: freshFor follows from the answer rate also where there is none yet.

--- a/control/throughput.go
+++ b/control/throughput.go
@@ -11,24 +11,23 @@
 // updateAnswerRate updates answerRate, the answers per second that this router gets from a server of mean weight at full
 // capacity, and freshFor, how long an observation of a server stays valid: about the time until its next answer is due.
 //
-// Answers and capacity are those of the same servers over the same time. To divide by the present capacity guards against
-// nothing and does harm: where most servers have just begun to drain, the few that are left would be credited with the answers
-// of all, and servers in slow start among them sent many times what they can take (docs/incidents/slow-start-overload.md).
+// Answers and capacity are those of the same servers over the same time. That guards against a budget many times too large:
+// divided by the present capacity, the answers of all would be credited to the few servers that are left where most have just
+// begun to drain (docs/incidents/slow-start-overload.md).
 func (b *Balancer) updateAnswerRate(now Micros) {
 	b.recordCapacity(now)
 	history := &b.capacityHistory
 	history.keepLatest(answerWindow)
-	if len(history.periods) == 0 {
-		return // no server was ever ready
-	}
-	b.answers = dropBefore(b.answers, history.periods[0].From)
-	span, serverTime := history.totals()
-	const shortest = answerWindow / 10 // a shorter time, after a start, counts as so long
-	serverTime *= max(1, shortest/float64(span))
-	if mean := b.meanWeight(); mean > 0 {
-		history.meanWeight = mean
+	if len(history.periods) > 0 { // else no server was ever ready
+		b.answers = dropBefore(b.answers, history.periods[0].From)
+		span, serverTime := history.totals()
+		const shortest = answerWindow / 10 // a shorter time, after a start, counts as so long
+		serverTime *= max(1, shortest/float64(span))
+		if mean := b.meanWeight(); mean > 0 {
+			history.meanWeight = mean
+		}
+		b.answerRate = float64(len(b.answers)) * 1e6 / serverTime * history.meanWeight
 	}
-	b.answerRate = float64(len(b.answers)) * 1e6 / serverTime * history.meanWeight
 	b.freshFor = Micros(min(maxFreshFor, max(rareAnswers, 1e6/max(0.01, b.answerRate))))
 }
 
