--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -8,4 +8,4 @@
 	exit 2
 fi
 [ -x "$root/bin/review-standin" ] || "$root/review/build.sh" || exit 2
-exec "$root/bin/review-standin" slowboard "$root" "$folder"
+exec "$root/bin/review-standin" flood "$root" "$folder"
