Review stand-ins: a closed output no longer ends them before they clean up

Cause: a run piped through head was ended by SIGPIPE at its second line, and left its temporary folder.

--- a/review/standin/common.go
+++ b/review/standin/common.go
@@ -612,6 +612,9 @@
 	if play == nil {
 		cannotRun("no case %q", os.Args[1])
 	}
+	// Output that nobody reads must not end the program before it has ended the router. Notify, unlike Ignore, isn't
+	// inherited by the router.
+	signal.Notify(make(chan os.Signal, 1), syscall.SIGPIPE)
 	signals := make(chan os.Signal, 1)
 	signal.Notify(signals, syscall.SIGINT, syscall.SIGTERM)
 	go func() {
