Accept loop never waits for clients: taken requests stayed unread beside a crowd

Cause: for a connection beyond the limit the accept loop waited for one of 16 slots. A slot was kept for reading, for the pauses that penalize makes between rejections, for the drain, and for each goroutine switch of a busy process; hasRoom waited up to 50 ms for a close. All connections behind waited too, usual clients among them. After SIGTERM the accept loop gave up 50 ms after its deadline, whatever was queued. Excluded: late readers and the event loop. The log showed 143 and 152 connections in the queue at SIGTERM, 133 of them still when the listener closed, 249 rejections in 4 s, and up to 0.32 s for one connection.

Change: one goroutine (overflow.go) holds the connections beyond the limit, reads and rejects without blocking and without pauses, at a bounded rate that does not depend on how it is scheduled. It serves a held connection if room appears. The closing listener keeps new connections out with the gateway's socket filter and is closed once its queue is empty (internal/acceptqueue), within the time before the kill; for the filter it listens without Multipath TCP.

Tests: TestFloodBeyondLimitDoesNotBlockAccept failed before (answers after 5 s and never) and passes. TestCrowdLeavesNothingUnread plays restarts beside nine kinds of crowds with two deadlines: before, 6 of 18 lost 2 to 68 requests, now none. It builds the router without the race detector, with which the crowds are too much for one core. Two tests call beginStop before stopListening, as the event loop does; one no longer counts rejected connections apart, as those are not among the clients.

The package's tests with the race detector pass.

--- a/internal/msgrpc/msgrpc.go
+++ b/internal/msgrpc/msgrpc.go
@@ -81,24 +81,40 @@
 
 // Reader reads a client's messages. It is not safe for concurrent use.
 type Reader struct {
-	in  *bufio.Reader
-	dec *msgpack.Decoder
+	in       io.Reader
+	buffered *bufio.Reader // in, if it is a stream; nil in Decode
+	dec      *msgpack.Decoder
 }
 
 // NewReader returns a reader of a stream.
 func NewReader(in io.Reader) *Reader {
 	br := bufio.NewReaderSize(in, 2<<10) // fits a message with a small body; no more, since many connections are idle
-	return &Reader{in: br, dec: msgpack.NewDecoder(br)}
+	return &Reader{in: br, buffered: br, dec: msgpack.NewDecoder(br)}
+}
+
+// ErrIncomplete is the error of Decode for the beginning of a message.
+var ErrIncomplete = errors.New("message is incomplete")
+
+// Decode decodes the message at the beginning of data and returns its size. Its error is ErrIncomplete or a
+// *MessageError; after one that is Unreadable, the size is not known.
+func Decode(data []byte) (m *Message, size int, err error) {
+	source := bytes.NewReader(data)
+	r := Reader{in: source, dec: msgpack.NewDecoder(source)}
+	m, err = r.Read()
+	if errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) {
+		err = ErrIncomplete
+	}
+	return m, len(data) - source.Len(), err
 }
 
 // Await blocks until the first byte of the next message has arrived.
 func (r *Reader) Await() error {
-	_, err := r.in.Peek(1)
+	_, err := r.buffered.Peek(1)
 	return err
 }
 
 // Buffered reports whether part of the next message has arrived already.
-func (r *Reader) Buffered() bool { return r.in.Buffered() > 0 }
+func (r *Reader) Buffered() bool { return r.buffered.Buffered() > 0 }
 
 // Read reads one message. Its error is a *MessageError or that of the stream.
 func (r *Reader) Read() (*Message, error) {
--- a/internal/platform/clientconn.go
+++ b/internal/platform/clientconn.go
@@ -30,7 +30,6 @@
 	aborting          bool                // the connection closes even in the middle of a message
 	readUntil         time.Time           // afterwards only pending input is read; zero: no bound
 	faults            int
-	rejected          bool                       // read only to reject its requests; does not count towards the limit
 	rejectWith        func(number uint32) []byte // response to each further request; nil: requests are accepted; reader only
 	unanswered        bool                       // the current request has no response yet and is not in open; reader only
 	sentMessage       atomic.Bool                // a complete message has been read
@@ -139,7 +138,7 @@
 		if !c.readUntil.IsZero() {
 			at = c.readUntil
 		}
-		if c.closing && c.hasNothingOpen() && !c.rejected {
+		if c.closing && c.hasNothingOpen() {
 			at = time.Now()
 		}
 		c.input.setDeadline(at)
@@ -407,7 +406,6 @@
 	c.router.clientCloses.add(clientClose(c.closeReason.Load()))
 	c.router.mu.Lock()
 	delete(c.router.clients, c)
-	c.router.rejectedConns -= boolToInt(c.rejected)
 	c.router.mu.Unlock()
 	close(c.closed)
 }
--- a/internal/platform/clients.go
+++ b/internal/platform/clients.go
@@ -9,6 +9,7 @@
 	"syscall"
 	"time"
 
+	"hollymast/control"
 	"hollymast/internal/acceptqueue"
 	"hollymast/internal/msgrpc"
 )
@@ -26,10 +27,6 @@
 	// maxInTransit is how many bytes are still read from a connection that is ending: all that a well-behaved client
 	// may have in transit if half of its open requests have bodies of the maximum length.
 	maxInTransit = 256 << 10
-	// rejectReadTime is how long a connection beyond the limit is read: several times the usual delay between a
-	// connection and its first request. maxRejecting is how many such connections are read at once: less than half of
-	// the reserved descriptors.
-	rejectReadTime, maxRejecting = 20 * time.Millisecond, 16
 	// clientIdleTimeout is how long a connection without open requests stays open: well-behaved clients close idle
 	// connections after 4 s, others never do.
 	clientIdleTimeout = 6 * time.Second
@@ -60,19 +57,25 @@
 
 // listener is the part of a listening socket that accept uses.
 type listener interface {
-	Accept() (net.Conn, error)
-	SetDeadline(at time.Time) error
+	acceptqueue.Listener
 	Close() error
-	SyscallConn() (syscall.RawConn, error)
 }
 
-// accept accepts connections until the listener is closed, or until its deadline passes with no connection pending;
-// then it closes the listener. No other error ends it: the machine may be short of resources for a while, and a
-// connection may break before it is accepted.
+// accept accepts connections until the listener is closed or its deadline passes; then it accepts those in the accept
+// queue and closes the listener. No other error ends it: the machine may be short of resources for a while, and a
+// connection may break before it is accepted. It never waits for a client, because requests may be waiting in the queue.
 func (r *Router) accept(l listener) {
+	beyondLimit := r.startOverflow()
+	defer beyondLimit.end()
 	defer r.closeListener(l)
-	pause, rechecked, acceptUntil := minAcceptPause, false, time.Time{}
-	acceptedAt := r.loop.Now()
+	admit := func(conn net.Conn) {
+		if r.hasRoom() {
+			r.serveClient(conn)
+		} else {
+			beyondLimit.add(conn)
+		}
+	}
+	pause, acceptedAt := minAcceptPause, r.loop.Now()
 	for {
 		r.acceptBusy.record(int64(r.loop.Now() - acceptedAt))
 		conn, err := l.Accept()
@@ -81,35 +84,20 @@
 		case errors.Is(err, net.ErrClosed):
 			return
 		case errors.Is(err, os.ErrDeadlineExceeded):
-			now := time.Now()
-			if acceptUntil.IsZero() {
-				acceptUntil = now.Add(descriptorWait)
-			}
-			if rechecked || now.After(acceptUntil) {
-				return
-			}
-			// Connections may have arrived while this goroutine was not accepting.
-			rechecked = true
-			l.SetDeadline(now.Add(lastReadTime))
-			continue
+			acceptqueue.Drain(l, r.loop.Time(control.Micros(r.drainQueueBy.Load())), admit)
+			return
 		case err != nil:
 			r.anomalies.add(acceptFailed)
-			rechecked = false
 			// Closing clients helps only if the process is short of descriptors.
 			if errors.Is(err, syscall.EMFILE) && r.makeRoom(1) {
 				continue
 			}
 			time.Sleep(pause) // avoids a busy loop
 			pause = min(2*pause, descriptorWait)
-			continue
-		}
-		pause, rechecked = minAcceptPause, false
-		if !r.hasRoom() {
-			r.anomalies.add(clientRejected)
-			r.rejectConn(conn)
-			continue
+		default:
+			pause = minAcceptPause
+			admit(conn)
 		}
-		r.serveClient(conn)
 	}
 }
 
@@ -123,27 +111,6 @@
 	l.Close()
 }
 
-// rejectConn reads a connection beyond the limit, rejects its requests, and closes it. Without it, requests on a
-// connection that the kernel has already accepted would be lost. At most maxRejecting such connections are read at
-// once; rejectConn blocks until there is capacity for one more.
-func (r *Router) rejectConn(conn net.Conn) {
-	r.rejecting <- struct{}{}
-	c := r.newClient(conn)
-	c.rejected = true
-	c.setCloseReason(clientCloseOverLimit)
-	r.addClient(c)
-	c.rejectWith = func(number uint32) []byte {
-		c.closeWhenIdle(drainAfterIdle)
-		return msgrpc.EncodeRejection(number, r.config.Deployment.MaxRetryAfter)
-	}
-	c.closeWhenIdle(0)
-	c.closeBy(rejectReadTime)
-	go func() {
-		c.readLoop()
-		<-r.rejecting
-	}()
-}
-
 // serveClient starts reading from a client connection.
 func (r *Router) serveClient(conn net.Conn) *clientConn {
 	c := r.newClient(conn)
@@ -165,29 +132,29 @@
 	return c
 }
 
-// addClient registers a client connection. A rejected connection does not count towards the limit.
+// addClient registers a client connection.
 func (r *Router) addClient(c *clientConn) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.clients[c] = struct{}{}
-	r.rejectedConns += boolToInt(c.rejected)
+}
+
+// spareClientConns returns how many more connections may be served; negative if there are too many.
+func (r *Router) spareClientConns() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.maxClients - len(r.clients)
 }
 
 // hasRoom reports whether one more connection may be served. It starts to close idle connections before the limit is
-// reached: each close takes a last read, and accepts should not have to wait for that.
+// reached, because each close takes a last read, and does not wait for that.
 func (r *Router) hasRoom() bool {
 	margin := min(closeIdleMargin, r.maxClients/4) // leaves three eighths of all descriptors to clients; well-behaved ones use a third
-	r.mu.Lock()
-	over := len(r.clients) - r.rejectedConns + 1 - (r.maxClients - margin)
-	r.mu.Unlock()
-	if over <= 0 {
-		return true
-	}
-	if over <= margin {
-		r.closeIdleClients(over + extraIdleCloses)
-		return true
+	spare := r.spareClientConns()
+	if spare <= margin {
+		r.closeIdleClients(margin - spare + 1 + extraIdleCloses)
 	}
-	return r.makeRoom(over + extraIdleCloses)
+	return spare > 0
 }
 
 // makeRoom closes n idle connections and reports whether the first of them has freed its descriptor within
@@ -215,7 +182,7 @@
 	for c := range r.clients {
 		isIdle, closing := c.idle()
 		switch {
-		case !isIdle || c.rejected:
+		case !isIdle:
 			continue
 		case closing:
 			c.closeNow()
--- a/internal/platform/crossing_test.go
+++ b/internal/platform/crossing_test.go
@@ -101,6 +101,7 @@
 		}
 		conns = append(conns, c)
 	}
+	r.beginStop()
 	r.stopListening()
 	r.accept(r.listener)
 	r.mu.Lock()
--- a/internal/platform/router.go
+++ b/internal/platform/router.go
@@ -20,6 +20,7 @@
 	"github.com/rs/zerolog"
 
 	"hollymast/control"
+	"hollymast/internal/acceptqueue"
 	"hollymast/internal/core"
 	"hollymast/internal/discovery"
 	"hollymast/internal/eventloop"
@@ -48,17 +49,16 @@
 	random          *rand.PCG                       // for the ids of load commands; no decision depends on it
 
 	// Shared with other goroutines.
-	connFuncs     serverConnFuncs
-	stalls        stallDetector
-	discovery     *discovery.Client
-	ready         atomic.Bool
-	listener      *net.TCPListener
-	acceptEnded   chan struct{} // closed once no more connections are accepted
-	rejecting     chan struct{} // semaphore for connections that are read only to reject their requests
-	mu            sync.Mutex
-	clients       map[*clientConn]struct{}
-	rejectedConns int // client connections beyond the limit
-	anomalies     anomalyCounts
+	connFuncs    serverConnFuncs
+	stalls       stallDetector
+	discovery    *discovery.Client
+	ready        atomic.Bool
+	listener     *net.TCPListener
+	acceptEnded  chan struct{} // closed once no more connections are accepted
+	drainQueueBy atomic.Int64  // until when the accept queue of the closing listener is emptied, on the router's clock; 0: it is not closing
+	mu           sync.Mutex
+	clients      map[*clientConn]struct{}
+	anomalies    anomalyCounts
 	// Counts for the state log line, reset each time it is logged.
 	attemptEnds  counter[attemptResult]
 	retries      counter[attemptResult] // by how the previous attempt ended
@@ -90,7 +90,7 @@
 		requests: map[control.RequestID]*request{}, pools: map[control.ServerID]*serverPool{},
 		clients: map[*clientConn]struct{}{}, slowStarts: map[control.ServerID]*slowStart{},
 		fleet: fleet.New(0), connFuncs: defaultConnFuncs, acceptEnded: make(chan struct{}),
-		rejecting: make(chan struct{}, maxRejecting), random: rand.NewPCG(config.Seed, 0),
+		random: rand.NewPCG(config.Seed, 0),
 	}
 	r.fleet.UseSourceClock()
 	r.fleet.SetSlowStartDuration(config.Deployment.SlowStartDuration)
@@ -127,7 +127,7 @@
 // listenAt listens on a TCP address. It retries for up to listenFor while the error may be temporary.
 func listenAt(address string) (net.Listener, error) {
 	for begin := time.Now(); ; time.Sleep(minRereadPause) {
-		l, err := net.Listen("tcp", address)
+		l, err := acceptqueue.Listen(address)
 		retryable := slices.ContainsFunc([]error{syscall.EADDRINUSE, syscall.EADDRNOTAVAIL, syscall.EMFILE, syscall.ENFILE,
 			syscall.ENOBUFS, syscall.ENOMEM, syscall.EAGAIN, syscall.EINTR}, func(temporary error) bool { return errors.Is(err, temporary) })
 		if !retryable || time.Since(begin) > listenFor {
--- a/internal/platform/shutdown.go
+++ b/internal/platform/shutdown.go
@@ -72,8 +72,15 @@
 	r.closeClients()
 }
 
-// stopListening lets the accept loop take the connections that are already pending, and no others.
-func (r *Router) stopListening() { r.listener.SetDeadline(time.Now().Add(lastReadTime)) }
+// stopListening lets the accept loop accept the connections that are already in the accept queue, and then end. Their
+// requests must be answered before the kill.
+func (r *Router) stopListening() {
+	r.drainQueueBy.Store(int64(r.stopRequestedAt + r.config.Deployment.EarliestKill() - answerBeforeKill))
+	r.listener.SetDeadline(time.Now())
+}
+
+// listenerClosing reports whether the listener is about to close: all requests have been sent by now.
+func (r *Router) listenerClosing() bool { return r.drainQueueBy.Load() != 0 }
 
 // closeClients makes each client connection close once no request is open on it and no input is left to read.
 func (r *Router) closeClients() {
--- a/internal/platform/trackedconn.go
+++ b/internal/platform/trackedconn.go
@@ -116,7 +116,7 @@
 	if t.raw == nil || now.Sub(t.processedUpTo) <= maxUnreadAge {
 		return true
 	}
-	if !t.allProcessed || t.hasUnread() {
+	if !t.allProcessed || hasUnread(t.raw) {
 		return false
 	}
 	t.processedUpTo = now
@@ -130,11 +130,10 @@
 	return t.processedUpTo
 }
 
-// hasUnread checks the socket for input that arrived since the last read: a message or the end of the connection. The
-// caller holds mu.
-func (t *trackedConn) hasUnread() bool {
+// hasUnread checks a socket for input that was not read yet: a message or the end of the connection.
+func hasUnread(raw syscall.RawConn) bool {
 	var peekErr error
-	err := t.raw.Control(func(fd uintptr) {
+	err := raw.Control(func(fd uintptr) {
 		var b [1]byte
 		_, peekErr = retryInterrupted(func() (int, error) {
 			n, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
