A closing connection is read until its last response is written

Callers saw: on a connection that closes for room or at a stop, a request that arrived while the response before it was being written got no answer, however long that took; only requests that cross the close within 50 ms are sent again.

Cause: the reader did its last read as soon as nothing was open, and left the close to the write queue.

Change: the reader ends only once the write queue is empty.

--- a/internal/platform/clientconn.go
+++ b/internal/platform/clientconn.go
@@ -139,14 +139,14 @@
 			at = c.readUntil
 		}
 		if c.closing && c.hasNothingOpen() {
-			at = time.Now()
+			at = c.nextEndCheck()
 		}
 		c.input.setDeadline(at)
 		c.mu.Unlock()
 		err := in.Await()
 		c.mu.Lock()
 		c.awaitingMessage = false
-		mayEnd := c.hasNothingOpen() || c.pastReadTime()
+		mayEnd := c.hasNothingOpen() && c.writes.empty() || c.pastReadTime()
 		c.mu.Unlock()
 		if err == nil {
 			return true
@@ -158,6 +158,15 @@
 	}
 }
 
+// nextEndCheck returns when to check next whether a closing connection without open requests may end. As long as a
+// response is being written, requests may still arrive that the client must be able to count on. The caller holds mu.
+func (c *clientConn) nextEndCheck() time.Time {
+	if c.writes.empty() {
+		return time.Now()
+	}
+	return time.Now().Add(writeCheckInterval)
+}
+
 // recordAwaitEnd records why the wait for a message ended: the deadline passed if late is set, otherwise the client
 // closed or broke the connection.
 func (c *clientConn) recordAwaitEnd(late bool) {
--- a/internal/platform/clients.go
+++ b/internal/platform/clients.go
@@ -36,6 +36,8 @@
 	// lastReadTime is how long a connection is read once its deadline has passed. Pending input is read immediately,
 	// so the shortest delay that a timer can keep is enough.
 	lastReadTime = 2 * time.Millisecond
+	// writeCheckInterval is the time between two checks whether everything is written on a connection that closes.
+	writeCheckInterval = 20 * time.Millisecond
 	// drainAfterIdle is how long a connection that is closed while idle is still read: as long as a request may cross
 	// with the close. drainAfterBadInput is the time that a client has to read the error after an unreadable message:
 	// half of what remains of the 3 s after firstMessageTimeout.
--- /dev/null
+++ b/internal/platform/lastread_test.go
@@ -0,0 +1,43 @@
+package platform
+
+import (
+	"net"
+	"testing"
+	"time"
+
+	"hollymast/internal/platformtest"
+)
+
+// slowWriteConn is the router's end of a connection on which writes wait until release is closed.
+type slowWriteConn struct {
+	*net.TCPConn
+	release chan struct{}
+}
+
+func (c *slowWriteConn) Write(b []byte) (int, error) {
+	<-c.release
+	return c.TCPConn.Write(b)
+}
+
+// TestRequestIsReadWhileResponseIsWritten guards against a connection that closes after a last read that came before its
+// last write: what arrived during that write stayed unread.
+func TestRequestIsReadWhileResponseIsWritten(t *testing.T) {
+	r := start(t, modelServer(t, echo))
+	routerConn, peerConn := platformtest.ConnPair(t)
+	slow := &slowWriteConn{routerConn.(*net.TCPConn), make(chan struct{})}
+	c := newTestClient(t, peerConn)
+	client := r.serveClient(slow)
+	c.sendRequest(1, "again")
+	platformtest.WaitFor(t, "the first request is answered", func() bool {
+		idle, _ := client.idle()
+		return idle && !client.writes.empty()
+	})
+	client.closeWhenIdle(0)
+	time.Sleep(2 * lastReadTime)
+	c.sendRequest(2, "again")
+	time.Sleep(2 * drainAfterIdle) // longer than a request may cross a close
+	close(slow.release)
+	c.expect("1: body 1")
+	c.expect("2: body 2")
+	c.expect("closed")
+}
