The last read of a connection is answered without pauses

A stopping router that reads a flood of bad messages to its end didn't come to it: it was killed with the rest unread and every connection behind it open.

Cause: penalize sleeps 2 to 20 ms for each bad message, also for the bounded rest that is read after the connection's time is up: 500 messages took 1.1 s where 60 ms are left before the kill.

Change: no pause once the last read was done.

--- a/internal/platform/clientconn.go
+++ b/internal/platform/clientconn.go
@@ -307,10 +307,13 @@
 // time from other clients; a few hundred at once can be answered within the time that such a client must be answered
 // in. While its reader sleeps, a cancellation would go unnoticed, so none of the client's requests stay open from
 // tolerableFaults on.
+//
+// What is read last from a connection is bounded, and is answered without pauses.
 func (c *clientConn) penalize() {
 	switch c.faults++; {
 	case c.faults == tolerableFaults:
 		c.failOpen(requestOutcome{endFailed, reasonConnRejects})
+	case c.input.finished:
 	case c.faults > excessiveFaults:
 		time.Sleep(20 * time.Millisecond)
 	case c.faults > tolerableFaults:
--- a/internal/platform/lastread_test.go
+++ b/internal/platform/lastread_test.go
@@ -1,10 +1,13 @@
 package platform
 
 import (
+	"io"
 	"net"
 	"testing"
 	"time"
 
+	"github.com/vmihailenco/msgpack/v5"
+
 	"hollymast/internal/platformtest"
 )
 
@@ -41,3 +44,30 @@
 	c.expect("2: body 2")
 	c.expect("closed")
 }
+
+// TestLastReadOfFloodIsNotSlowedDown guards against pauses between the rejections of what was read last from a
+// connection: a stopping router would not get to the end of it before the kill.
+func TestLastReadOfFloodIsNotSlowedDown(t *testing.T) {
+	const flood = 500
+	r := start(t, modelServer(t, echo))
+	routerConn, peerConn := platformtest.ConnPair(t)
+	var messages []byte
+	for n := range flood {
+		message, err := msgpack.Marshal([]any{0, n + 1, "unknown", []any{map[string]string{}, []byte{}}})
+		if err != nil {
+			t.Fatal(err)
+		}
+		messages = append(messages, message...)
+	}
+	if _, err := peerConn.Write(messages); err != nil {
+		t.Fatal(err)
+	}
+	go io.Copy(io.Discard, peerConn)
+	client := r.serveClient(routerConn)
+	client.closeBy(finalReadTime)
+	begin := time.Now()
+	<-client.writes.written
+	if took := time.Since(begin); took > duration(stopReadingBeforeKill) {
+		t.Errorf("everything is answered after %v", took)
+	}
+}
