Gateway: a stop waits for connections beyond the limit and for the whole accept queue

Callers saw: a gateway at its limit of connections that stopped could exit before it had answered connections that it had just accepted; if it was short of descriptors at that moment, it reset the rest of its accept queue.

Change: rejected connections are waited for like all others and closed at the same time before the kill; the queue is emptied by acceptqueue.Drain, which platform and gateway share and which goes on after a failed accept.

--- a/internal/gateway/clientconn_test.go
+++ b/internal/gateway/clientconn_test.go
@@ -11,6 +11,7 @@
 	"github.com/tidwall/gjson"
 
 	"hollymast/control"
+	"hollymast/internal/acceptqueue"
 	"hollymast/internal/attempt"
 	"hollymast/internal/fakeserver"
 	"hollymast/internal/invariant"
@@ -152,7 +153,7 @@
 		tg := newTestGateway(t)
 		address, _ := startRecordingServer(t, new(atomic.Int64))
 		call := tg.newCall(address, time.Second)
-		l, err := listenTCP("127.0.0.1:0")
+		l, err := acceptqueue.Listen("127.0.0.1:0")
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/internal/gateway/clients.go
+++ b/internal/gateway/clients.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"hollymast/control"
+	"hollymast/internal/acceptqueue"
 	"hollymast/internal/rest"
 )
 
@@ -19,7 +20,7 @@
 const rejectWriteTimeout = time.Second
 
 // accept serves a listener until the listener is closed or its deadline passes. After the deadline it serves the
-// pending connections and closes the listener. No other error ends it.
+// connections in the accept queue and closes the listener. No other error ends it.
 func (g *Gateway) accept(ctx context.Context, l net.Listener, role listenerRole) {
 	for {
 		conn, err := l.Accept()
@@ -27,9 +28,11 @@
 		case errors.Is(err, net.ErrClosed):
 			return
 		case errors.Is(err, os.ErrDeadlineExceeded): // set by beginStop
-			for _, conn := range drainListener(l) {
-				g.serveClient(ctx, conn, role)
+			if queued, ok := l.(acceptqueue.Listener); ok {
+				until := time.Now().Add(g.config.shutdownTimes().readUntil)
+				acceptqueue.Drain(queued, until, func(conn net.Conn) { g.serveClient(ctx, conn, role) })
 			}
+			l.Close()
 			return
 		case err != nil:
 			g.log.Warn().Err(err).Msg("accept failed")
@@ -48,7 +51,7 @@
 			conn.Close() // no request was accepted, and a handshake for the response would cost too much
 			return
 		}
-		go rejectConn(conn, g.config.Deployment.MaxRetryAfter)
+		g.clientReaders.Go(func() { g.rejectConn(conn) })
 		return
 	}
 	g.clientCount.Add(1)
@@ -69,11 +72,13 @@
 
 // rejectConn answers a connection beyond the limit without reading its request, and closes it. Nothing was accepted, so
 // its client may retry.
-func rejectConn(conn net.Conn, retryAfter control.Micros) {
+func (g *Gateway) rejectConn(conn net.Conn) {
 	limits := rest.Limits{WriteTimeout: rejectWriteTimeout}
 	client := rest.NewConn(conn, &limits, nil)
+	g.clientConns.Store(client, nil)
+	defer g.clientConns.Delete(client)
 	defer client.Close()
-	resp := rejection("too many connections", retryAfter)
+	resp := rejection("too many connections", g.config.Deployment.MaxRetryAfter)
 	resp.Close = true
 	client.WriteResponse(resp)
 }
--- a/internal/gateway/deadline_test.go
+++ b/internal/gateway/deadline_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"hollymast/control"
+	"hollymast/internal/acceptqueue"
 	"hollymast/internal/invariant"
 )
 
@@ -58,7 +59,7 @@
 		}
 		<-attempts
 		slow.Store(int64(pipelined) * int64(delay))
-		l, err := listenTCP("127.0.0.1:0")
+		l, err := acceptqueue.Listen("127.0.0.1:0")
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -16,6 +16,7 @@
 	"github.com/rs/zerolog"
 
 	"hollymast/control"
+	"hollymast/internal/acceptqueue"
 	"hollymast/internal/certstore"
 	"hollymast/internal/core"
 	"hollymast/internal/eventloop"
@@ -147,7 +148,7 @@
 		if address == "" {
 			continue
 		}
-		l, err := listenTCP(address)
+		l, err := acceptqueue.Listen(address)
 		if err != nil {
 			return err
 		}
--- a/internal/gateway/serverfaults_test.go
+++ b/internal/gateway/serverfaults_test.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"hollymast/control"
+	"hollymast/internal/acceptqueue"
 	"hollymast/internal/rest"
 )
 
@@ -95,7 +96,7 @@
 	for _, errno := range []syscall.Errno{syscall.ECONNABORTED, syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM, syscall.EPROTO,
 		syscall.EINTR, syscall.EPERM, syscall.ENETDOWN, syscall.EHOSTUNREACH} {
 		for _, times := range []int{1, 5} {
-			l, err := listenTCP("127.0.0.1:0")
+			l, err := acceptqueue.Listen("127.0.0.1:0")
 			if err != nil {
 				t.Fatal(err)
 			}
--- a/internal/gateway/shutdown_test.go
+++ b/internal/gateway/shutdown_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"hollymast/control"
+	"hollymast/internal/acceptqueue"
 	"hollymast/internal/fakeserver"
 )
 
@@ -48,7 +49,7 @@
 // a stall, and if no request is in flight.
 func TestStopAnswersWaitingConnections(t *testing.T) {
 	tg := newTestGateway(t)
-	l, err := listenTCP("127.0.0.1:0")
+	l, err := acceptqueue.Listen("127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -183,3 +184,24 @@
 		t.Error("it still listens")
 	}
 }
+
+// TestStopWaitsForRejectedConnections guards against a process that exits while it still answers a connection beyond the
+// limit: Serve has to wait for it as for any other.
+func TestStopWaitsForRejectedConnections(t *testing.T) {
+	tg := newTestGatewayConfigured(t, "", func(config *Config) { config.MaxClientConns = 1 }, serverConfig(0))
+	first, _ := tg.dialClient()
+	waitUntil(t, "the first connection is accepted", func() bool { return tg.gateway.clientCount.Load() == 1 })
+	rejected, r := tg.dialClient()
+	if lines, err := readStatusLines(r, 1); err != nil || lines[0] != "HTTP/1.1 503 Service Unavailable" {
+		t.Fatalf("got %q, %v", lines, err)
+	}
+	first.Close()
+	tg.stop()
+	served := <-tg.ended
+	tg.ended <- served             // for the cleanup
+	rejected.Write([]byte("POST")) // is answered with a reset if the router's end is closed, and is discarded otherwise
+	time.Sleep(50 * time.Millisecond)
+	if _, err := rejected.Write([]byte("POST")); err == nil {
+		t.Error("the connection is still open after Serve")
+	}
+}
