A stopping router empties its accept queue also after the earliest kill, if none came

Callers saw: with short deadlines the listener was closed 80 ms before the earliest kill, with whatever was unread in its queue, although no kill had come; connections accepted by then took places among the served ones that only a kill ended.

Change: the queue is emptied up to 2 s longer; if the kill comes, nothing is lost that wasn't before. What is accepted while the listener closes is rejected by the overflow goroutine and not served: its requests would be rejected anyway.

Test: TestStopReadsQueueAfterEarliestKill failed before (closed without an answer), passes.

--- a/internal/platform/clients.go
+++ b/internal/platform/clients.go
@@ -71,10 +71,11 @@
 	defer beyondLimit.end()
 	defer r.closeListener(l)
 	admit := func(conn net.Conn) {
-		if r.hasRoom() {
-			r.serveClient(conn)
-		} else {
+		// A router that closes its listener rejects all further requests.
+		if r.listenerClosing() || !r.hasRoom() {
 			beyondLimit.add(conn)
+		} else {
+			r.serveClient(conn)
 		}
 	}
 	pause, acceptedAt := minAcceptPause, r.loop.Now()
--- a/internal/platform/lastread_test.go
+++ b/internal/platform/lastread_test.go
@@ -3,11 +3,13 @@
 import (
 	"io"
 	"net"
+	"syscall"
 	"testing"
 	"time"
 
 	"github.com/vmihailenco/msgpack/v5"
 
+	"hollymast/control"
 	"hollymast/internal/platformtest"
 )
 
@@ -71,3 +73,26 @@
 		t.Errorf("everything is answered after %v", took)
 	}
 }
+
+// TestStopReadsQueueAfterEarliestKill guards against a router that closes its listener over unread requests at the time of
+// the earliest kill although no kill has come.
+func TestStopReadsQueueAfterEarliestKill(t *testing.T) {
+	r := idleRouter(t)
+	r.config.Deployment.Classes = []control.Class{{MaxDeadline: 50_000}}
+	shortUntil := time.Now().Add(duration(r.config.Deployment.EarliestKill()))
+	l := &failingListener{TCPListener: r.listener, fault: func() error {
+		if time.Now().Before(shortUntil) {
+			return syscall.EMFILE
+		}
+		return nil
+	}}
+	c := dialAddress(t, r.Address())
+	c.sendRequest(1, "again")
+	c.sendRequest(2, "again")
+	r.beginStop()
+	r.stopListening()
+	r.accept(l)
+	c.expect("1: TryLater")
+	c.expect("2: TryLater")
+	c.expect("closed")
+}
--- a/internal/platform/overflow.go
+++ b/internal/platform/overflow.go
@@ -22,8 +22,8 @@
 	overflowReadSize = 64 << 10
 )
 
-// overflow holds the client connections beyond the limit. The kernel has accepted them, so requests on them must be
-// answered. Each waits for room for up to overflowHoldTime; if there is none, its requests are rejected and it is
+// overflow holds the client connections that are not served: those beyond the limit, and all that are accepted while the
+// listener closes. The kernel has accepted them, so requests on them must be answered. Each waits for room for up to overflowHoldTime; if there is none, its requests are rejected and it is
 // closed. One goroutine handles all of them without blocking, so that the accept loop never waits for a client: while
 // maxOverflowConns are open, it waits until the oldest has been held for long enough.
 type overflow struct {
@@ -117,7 +117,7 @@
 		}
 	}()
 	defer o.router.recoverPanic(panicReadingClient)
-	if c.stage == overflowHeld && o.router.spareClientConns() > 0 {
+	if c.stage == overflowHeld && pressure < closesSoon && o.router.spareClientConns() > 0 {
 		o.router.serveClient(c.handOver())
 		return true
 	}
--- a/internal/platform/shutdown.go
+++ b/internal/platform/shutdown.go
@@ -36,6 +36,10 @@
 	stopReadingBeforeKill = 60_000
 )
 
+// drainAfterKill is how long after the earliest kill, in microseconds, the accept queue is still emptied: the kill may
+// come later, or not at all.
+const drainAfterKill = 2_000_000
+
 // stopAction is one action of the graceful shutdown; at is its time in microseconds after the request to stop.
 type stopAction struct {
 	at control.Micros
@@ -72,10 +76,10 @@
 	r.closeClients()
 }
 
-// stopListening lets the accept loop accept the connections that are already in the accept queue, and then end. Their
-// requests must be answered before the kill.
+// stopListening lets the accept loop accept the connections that are already in the accept queue, reject their requests,
+// and then end.
 func (r *Router) stopListening() {
-	r.drainQueueBy.Store(int64(r.stopRequestedAt + r.config.Deployment.EarliestKill() - answerBeforeKill))
+	r.drainQueueBy.Store(int64(r.stopRequestedAt + r.config.Deployment.EarliestKill() + drainAfterKill))
 	r.listener.SetDeadline(time.Now())
 }
 
