A stop ends clients that never pause soon after the listener closes

Cause: a connection ends only once nothing is open and nothing unread, which such clients never let happen, and each of their requests went through the event loop only to be rejected there.

--- a/internal/platform/clientconn.go
+++ b/internal/platform/clientconn.go
@@ -114,6 +114,19 @@
 	return expired && len(c.input.remaining) == 0
 }
 
+// limitReadingAtStop bounds the time for further messages once the listener closes and no request is open: all requests
+// of well-behaved clients have been sent by then, and others might never pause.
+func (c *clientConn) limitReadingAtStop() {
+	if !c.router.listenerClosing() {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closing && c.hasNothingOpen() && c.readUntil.IsZero() {
+		c.readUntil = time.Now().Add(finalReadTime)
+	}
+}
+
 // pastReadTime reports whether only pending input is still read. The caller holds mu.
 func (c *clientConn) pastReadTime() bool {
 	return !c.readUntil.IsZero() && !time.Now().Before(c.readUntil)
@@ -204,6 +217,7 @@
 	in := msgrpc.NewReader(c.input)
 	firstDeadline := time.Now().Add(firstMessageTimeout)
 	for {
+		c.limitReadingAtStop()
 		if over := c.readTimeExpired(); !in.Buffered() && (over || !c.awaitMessage(in, firstDeadline)) {
 			return
 		}
@@ -329,6 +343,11 @@
 		c.penalize()
 		return
 	}
+	if c.router.listenerClosing() {
+		c.router.requestEnds.add(requestOutcome{endRejected, reasonStopping})
+		c.reply(msgrpc.EncodeRejection(m.Number, c.router.config.Deployment.MaxRetryAfter))
+		return
+	}
 	req := &request{
 		id: m.Request.ID, number: m.Number, client: c, message: m.Request,
 		readAt: c.router.loop.Now(), arrivedAt: c.arrivalTime(),
--- a/internal/platform/lastread_test.go
+++ b/internal/platform/lastread_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"math/rand/v2"
 	"net"
 	"syscall"
 	"testing"
@@ -96,3 +97,32 @@
 	c.expect("2: TryLater")
 	c.expect("closed")
 }
+
+// TestStopEndsClientsThatNeverPause guards against clients that keep a stopping router busy until the kill by asking again
+// as soon as they are rejected.
+func TestStopEndsClientsThatNeverPause(t *testing.T) {
+	const clients = 8
+	r := start(t, modelServer(t, echo))
+	for range clients {
+		c := r.dial(t)
+		go func() {
+			for n := 1; n <= maxOpenPerClient; n++ {
+				c.sendRequest(n, "again", withID(int(rand.Int64()))...)
+			}
+			for n := maxOpenPerClient + 1; c.receive() != "closed"; n++ {
+				c.sendRequest(n, "again", withID(int(rand.Int64()))...)
+			}
+		}()
+	}
+	platformtest.WaitFor(t, "all are served", func() bool {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		return len(r.clients) == clients
+	})
+	begin := time.Now()
+	r.stop()
+	<-r.done
+	if took, limit := time.Since(begin), duration(r.config.Deployment.EarliestKill()-stopReadingBeforeKill); took > limit {
+		t.Errorf("the router ended after %v, want at most %v", took, limit)
+	}
+}
