--- a/internal/platform/clients.go
+++ b/internal/platform/clients.go
@@ -2,15 +2,10 @@
 
 import (
 	"cmp"
-	"errors"
 	"net"
-	"os"
 	"slices"
-	"syscall"
 	"time"
 
-	"hollymast/control"
-	"hollymast/internal/acceptqueue"
 	"hollymast/internal/msgrpc"
 )
 
@@ -57,63 +52,6 @@
 	minAcceptPause = time.Millisecond
 )
 
-// listener is the part of a listening socket that accept uses.
-type listener interface {
-	acceptqueue.Listener
-	Close() error
-}
-
-// accept accepts connections until the listener is closed or its deadline passes; then it accepts those in the accept
-// queue and closes the listener. No other error ends it: the machine may be short of resources for a while, and a
-// connection may break before it is accepted. It never waits for a client, because requests may be waiting in the queue.
-func (r *Router) accept(l listener) {
-	beyondLimit := r.startOverflow()
-	defer beyondLimit.end()
-	defer r.closeListener(l)
-	admit := func(conn net.Conn) {
-		// A router that closes its listener rejects all further requests.
-		if r.listenerClosing() || !r.hasRoom() {
-			beyondLimit.add(conn)
-		} else {
-			r.serveClient(conn)
-		}
-	}
-	pause, acceptedAt := minAcceptPause, r.loop.Now()
-	for {
-		r.acceptBusy.record(int64(r.loop.Now() - acceptedAt))
-		conn, err := l.Accept()
-		acceptedAt = r.loop.Now()
-		switch {
-		case errors.Is(err, net.ErrClosed):
-			return
-		case errors.Is(err, os.ErrDeadlineExceeded):
-			acceptqueue.Drain(l, r.loop.Time(control.Micros(r.drainQueueBy.Load())), admit)
-			return
-		case err != nil:
-			r.anomalies.add(acceptFailed)
-			// Closing clients helps only if the process is short of descriptors.
-			if errors.Is(err, syscall.EMFILE) && r.makeRoom(1) {
-				continue
-			}
-			time.Sleep(pause) // avoids a busy loop
-			pause = min(2*pause, descriptorWait)
-		default:
-			pause = minAcceptPause
-			admit(conn)
-		}
-	}
-}
-
-// closeListener closes the listener and logs how many connections it resets by that, since they were never accepted.
-func (r *Router) closeListener(l listener) {
-	line := r.log.Info()
-	if unaccepted, ok := acceptqueue.Length(l); ok {
-		line = line.Int("unaccepted", unaccepted)
-	}
-	line.Int64("accept_busy_us", r.acceptBusy.take()).Msg("listener closed")
-	l.Close()
-}
-
 // serveClient starts reading from a client connection.
 func (r *Router) serveClient(conn net.Conn) *clientConn {
 	c := r.newClient(conn)
