Crowd test: the crowd runs in a process of its own, apart from the clients that are timed

Checked on a scratch copy: a late request was read by the router 3 ms after it was sent and answered at once, the client saw the answer 1.10 s later, and its dials took up to 2.1 s. The 400 clients of the crowd kept the network goroutines of the same process waiting. Excluded: the router's accept queue and readers; a lag of the test's timers (83 ms at most), which don't wait for the network.

Change: the crowd is a process of its own on two cores.

--- a/cmd/hollymast/crowd_test.go
+++ b/cmd/hollymast/crowd_test.go
@@ -114,60 +114,59 @@
 	}
 }
 
-// crowd is a number of clients that connect again as soon as their connection ends.
-type crowd struct {
-	mu    sync.Mutex
-	ended bool
-	conns map[net.Conn]struct{}
-	all   sync.WaitGroup
-}
+// Environment variables that make the test program run as a crowd: the router's address, the behavior and the timeout of requests.
+// A crowd in the process of the test would delay the clients whose answers are timed.
+const (
+	crowdAddressEnv  = "HOLLYMAST_TEST_CROWD_ADDRESS"
+	crowdBehaviorEnv = "HOLLYMAST_TEST_CROWD_BEHAVIOR"
+	crowdTimeoutEnv  = "HOLLYMAST_TEST_CROWD_TIMEOUT"
+)
 
-// startCrowd starts a crowd of clients with one behavior. It ends when end is called.
-func startCrowd(address string, size int, reconnectAfter time.Duration, behave func(conn net.Conn)) *crowd {
-	c := &crowd{conns: map[net.Conn]struct{}{}}
-	for range size {
-		c.all.Go(func() {
-			for c.connectOnce(address, behave) {
-				time.Sleep(reconnectAfter)
+// crowdSize is the number of clients of a crowd. The router has connections for 128.
+const crowdSize = 400
+
+// runCrowd runs clients with one behavior, which connect again as soon as their connection ends, until the process is killed.
+func runCrowd(address string, behavior crowdBehavior, timeout time.Duration) {
+	const dialTimeout = 2 * time.Second
+	var clients sync.WaitGroup
+	for range crowdSize {
+		clients.Go(func() {
+			for ; ; time.Sleep(behavior.reconnectAfter) {
+				if conn, err := net.DialTimeout("tcp", address, dialTimeout); err == nil {
+					behavior.behave(conn, timeout)
+					conn.Close()
+				}
 			}
 		})
 	}
-	return c
+	clients.Wait()
 }
 
-// connectOnce opens a connection and behaves on it until it ends. It returns false if the crowd has ended.
-func (c *crowd) connectOnce(address string, behave func(conn net.Conn)) bool {
-	const dialTimeout = 2 * time.Second
-	conn, err := net.DialTimeout("tcp", address, dialTimeout)
-	c.mu.Lock()
-	ended := c.ended
-	if err == nil && !ended {
-		c.conns[conn] = struct{}{}
+// runCrowdFromEnv runs a crowd if the environment asks for one.
+func runCrowdFromEnv() {
+	address := os.Getenv(crowdAddressEnv)
+	if address == "" {
+		return
 	}
-	c.mu.Unlock()
-	if err != nil || ended {
-		if err == nil {
-			conn.Close()
-		}
-		return !ended
+	timeout, err := time.ParseDuration(os.Getenv(crowdTimeoutEnv))
+	if err != nil {
+		panic(err) // only startCrowd sets it
 	}
-	behave(conn)
-	conn.Close()
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	delete(c.conns, conn)
-	return true
+	runCrowd(address, crowdBehaviors[os.Getenv(crowdBehaviorEnv)], timeout)
 }
 
-// end ends the crowd and closes its connections.
-func (c *crowd) end() {
-	c.mu.Lock()
-	c.ended = true
-	for conn := range c.conns {
-		conn.Close()
+// startCrowd starts a crowd in a process of its own, which ends when end is called.
+func startCrowd(t *testing.T, address, behavior string, timeout time.Duration) (end func()) {
+	t.Helper()
+	command := exec.Command(os.Args[0])
+	command.Env = append(os.Environ(), crowdAddressEnv+"="+address, crowdBehaviorEnv+"="+behavior, crowdTimeoutEnv+"="+timeout.String(), "GOMAXPROCS=2")
+	if err := command.Start(); err != nil {
+		t.Fatal(err)
+	}
+	return func() {
+		command.Process.Kill()
+		command.Wait()
 	}
-	c.mu.Unlock()
-	c.all.Wait()
 }
 
 // newcomerRequests is the number of requests that a newcomer sends.
@@ -250,7 +249,7 @@
 				t.Parallel()
 				running <- struct{}{}
 				defer func() { <-running }()
-				ends := restartBesideCrowd(t, deadline, crowdBehaviors[behavior])
+				ends := restartBesideCrowd(t, deadline, behavior)
 				t.Logf("%v", ends)
 				if lost := ends[endLate] + ends[endUnread]; lost > 0 {
 					t.Errorf("%d requests were lost", lost)
@@ -279,9 +278,8 @@
 
 // restartBesideCrowd plays a planned restart of a router that has a crowd of clients, and returns how the requests of its newcomers
 // ended.
-func restartBesideCrowd(t *testing.T, deadline time.Duration, behavior crowdBehavior) map[string]int {
+func restartBesideCrowd(t *testing.T, deadline time.Duration, behavior string) map[string]int {
 	const (
-		crowdSize    = 400 // the router has connections for 128
 		connectEvery = 40 * time.Millisecond
 		crowdBefore  = time.Second            // before SIGTERM
 		connectFor   = 400 * time.Millisecond // after SIGTERM
@@ -292,8 +290,7 @@
 	discoveryServer := platformtest.NewDiscovery(t, "127.0.0.1:0", nil, events...)
 	router := startRouter(t, platformtest.Deployment{Grace: gracePeriod, Deadline: deadline}.Configuration(discoveryServer.Address(), events...))
 	router.waitReady()
-	others := startCrowd(router.address, crowdSize, behavior.reconnectAfter, func(conn net.Conn) { behavior.behave(conn, deadline) })
-	defer others.end()
+	defer startCrowd(t, router.address, behavior, deadline)()
 	clients := &newcomers{address: router.address, timeout: deadline, ends: map[string]int{}}
 	connectUntil := func(end time.Time) {
 		for time.Now().Before(end) {
--- a/cmd/hollymast/process_test.go
+++ b/cmd/hollymast/process_test.go
@@ -22,6 +22,7 @@
 const routerBinaryEnv = "HOLLYMAST_TEST_ROUTER"
 
 func TestMain(m *testing.M) {
+	runCrowdFromEnv()
 	if args := os.Getenv(routerArgsEnv); args != "" {
 		os.Args = append(os.Args[:1], strings.Fields(args)...)
 		main()
