Discovery in the log: subscriptions, age of the confirmed list, whether a watch was answered

Change: the end of a watch is a WatchError with address, age and whether it was answered; the state line has the subscriptions so far and how long ago the list was last confirmed.

--- a/internal/discovery/client.go
+++ b/internal/discovery/client.go
@@ -33,7 +33,8 @@
 	state   State
 	watch   *watch // nil: not connected
 	// completeAsOf is the latest time at which the state is known to contain everything that the server had sent.
-	completeAsOf time.Time
+	completeAsOf  time.Time
+	subscriptions int // sent so far
 }
 
 // NewClient returns a client that continues from the given state. onUpdate is called with each change, in order and
@@ -130,7 +131,7 @@
 			return
 		}
 		c.markStarted()
-		c.reportError("reconnecting to discovery", err)
+		c.reportError("reconnecting to discovery", describeEnd(w, err))
 		if errors.Is(err, errAddressChanged) {
 			c.backoff.Reset()
 			c.clearAddressChanged()
@@ -155,6 +156,13 @@
 	return c.state.Revision()
 }
 
+// Subscriptions returns how many subscriptions were sent so far.
+func (c *Client) Subscriptions() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.subscriptions
+}
+
 // upToDate reports whether the last watch reached the server's current revision.
 func (c *Client) upToDate() bool {
 	c.mu.Lock()
@@ -200,6 +208,7 @@
 	}
 	c.state.Subscribed()
 	c.watch = w
+	c.subscriptions++
 	return w, nil
 }
 
--- a/internal/discovery/client_test.go
+++ b/internal/discovery/client_test.go
@@ -3,7 +3,9 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"fmt"
+	"io"
 	"net"
 	"runtime"
 	"strings"
@@ -310,3 +312,27 @@
 	}
 	setRead(syscall.Read)
 }
+
+// The report of a watch's end tells whether the server had answered: one that is slow or crowded needs another remedy than
+// one that breaks off.
+func TestEndOfWatchTellsWhetherItWasAnswered(t *testing.T) {
+	for name, answer := range map[string]string{"unanswered": "", "answered": "0\n"} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			address, conns, subscriptions := startServer(t)
+			reports := make(chan error, 100)
+			runClient(t, NewClient(State{}, address, testGrace, 1, func(fleet.Update) {}, func(_ string, err error) { reports <- err }))
+			c := receive(t, "a connection", conns)
+			receive(t, "a subscription", subscriptions)
+			fmt.Fprint(c, answer)
+			c.Close()
+			var end *WatchError
+			if err := receive(t, "the report", reports); !errors.As(err, &end) {
+				t.Fatalf("got %v", err)
+			}
+			if end.Address != address || end.Answered != (answer != "") || !errors.Is(end, io.EOF) {
+				t.Errorf("got %v", end)
+			}
+		})
+	}
+}
--- a/internal/discovery/watch.go
+++ b/internal/discovery/watch.go
@@ -17,6 +17,8 @@
 	raw          syscall.RawConn
 	partialLine  []byte // start of a line whose end has not arrived
 	address      string
+	subscribedAt time.Time
+	answered     bool      // a line was read
 	lastLine     time.Time // when the last line was read, or the subscription was sent
 	skippingLine bool      // discard input up to the end of a line that is too long
 	completeAsOf time.Time // when the last read began that consumed everything received
@@ -68,7 +70,7 @@
 		return nil, err
 	}
 	now := time.Now()
-	return &watch{conn: conn, raw: raw, address: address, lastLine: now, completeAsOf: now}, nil
+	return &watch{conn: conn, raw: raw, address: address, subscribedAt: now, lastLine: now, completeAsOf: now}, nil
 }
 
 // readAll reads everything that has arrived, up to maxReadPerCall, and passes each complete line to the handler. It
@@ -132,7 +134,7 @@
 		}
 		line := w.partialLine[:end]
 		w.partialLine = w.partialLine[end+1:]
-		w.lastLine = time.Now()
+		w.lastLine, w.answered = time.Now(), true
 		if w.skippingLine {
 			w.skippingLine = false
 			continue
--- a/internal/platform/logging.go
+++ b/internal/platform/logging.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"sync/atomic"
 	"syscall"
+	"time"
 
 	"github.com/rs/zerolog"
 
@@ -22,8 +23,8 @@
 // countBadMessage counts a client message that breaks the protocol.
 func (r *Router) countBadMessage(f *msgrpc.MessageError) { r.anomalies.addDetail(badMessage, f.Text) }
 
-// logState logs the state line: connections, requests, the estimates behind the slow-start budget, and, counted since
-// the previous line, how attempts and requests ended, the causes of retries, why connections closed, and the
+// logState logs the state line: connections, requests, the age of the confirmed endpoint list, the estimates behind the
+// slow-start budget, and, counted since the start, subscriptions to discovery, and since the previous line, how attempts and requests ended, the causes of retries, why connections closed, and the
 // anomalies.
 func (r *Router) logState() {
 	r.mu.Lock()
@@ -33,6 +34,7 @@
 	line := r.log.Info().Int("clients", clients)
 	addQueueLength(line, r.listener).Int64("accept_busy_us", r.acceptBusy.take()).Int("server_connections", r.serverConnCount).
 		Int("requests", len(r.requests)).Int("held", r.core.Held()).Uint64("list_revision", r.discovery.Revision()).
+		Int("subscriptions", r.discovery.Subscriptions()).Int64("list_confirmed_ms_ago", r.sinceListConfirmed().Milliseconds()).
 		Int64("oldest_list_us", r.oldestEndpoints.take()).Int64("after_drain_us", r.afterDrain.take()).
 		Int("ready", throughput.Ready).Int("slow_start", throughput.SlowStart).Float64("answer_rate", throughput.AnswerRate).
 		Str("attempts", r.attemptEnds.take()).Str("retries", r.retries.take()).Str("ended", r.requestEnds.take()).
@@ -40,6 +42,16 @@
 		Str("anomalies", r.anomalies.take()).Msg("state")
 }
 
+// sinceListConfirmed returns how long ago discovery last confirmed that the endpoint list was complete, -1 ms if it never
+// did.
+func (r *Router) sinceListConfirmed() time.Duration {
+	confirmed := r.discovery.CompleteAsOf()
+	if confirmed.IsZero() {
+		return -time.Millisecond
+	}
+	return time.Since(confirmed)
+}
+
 // addQueueLength adds the length of a listener's accept queue to a log line, if the system tells it.
 func addQueueLength(line *zerolog.Event, listener syscall.Conn) *zerolog.Event {
 	if unaccepted, ok := acceptqueue.Length(listener); ok {
