--- a/cmd/hollymast/drain_test.go
+++ b/cmd/hollymast/drain_test.go
@@ -249,3 +249,42 @@
 		t.Errorf("%d of %d requests were served", served, requests)
 	}
 }
+
+// slowDiscovery starts a discovery service that answers each subscription after a delay.
+func slowDiscovery(t *testing.T, delay time.Duration, events ...discovery.Event) *platformtest.Discovery {
+	return platformtest.NewDiscovery(t, "127.0.0.1:0", func(net.Conn, int) bool { time.Sleep(delay); return false }, events...)
+}
+
+// TestDrainAfterReloadToSlowDiscovery guards against a drain that is never read because the discovery service at the new address
+// takes 2 s for an answer: what it has to tell counts as announced 4 s after the reload.
+func TestDrainAfterReloadToSlowDiscovery(t *testing.T) {
+	t.Parallel()
+	const (
+		functions      = 12
+		answerDelay    = 2 * time.Second
+		announcedAfter = 4 * time.Second
+		duration       = 6 * time.Second
+	)
+	servers := newTwoServers(t)
+	oldDiscovery := platformtest.NewDiscovery(t, "127.0.0.1:0", nil, servers.events...)
+	newDiscovery := slowDiscovery(t, answerDelay, servers.events...)
+	router := startRouter(t, platformtest.Deployment{Grace: gracePeriod}.Configuration(oldDiscovery.Address(), servers.events...))
+	client := router.waitReady()
+	router.writeConfig(platformtest.Deployment{Grace: gracePeriod}.Configuration(newDiscovery.Address(), servers.events...))
+	router.signal(syscall.SIGHUP)
+	reloadedAt := time.Now()
+	newDiscovery.Publish(servers.drainEvent())
+	for round := uint64(0); time.Since(reloadedAt) < duration; round++ {
+		callEach(client, 1+round*functions, firstFunctionKey, functions)
+		if served := countServed(client, functions); served != functions {
+			t.Errorf("%d of %d requests were served", served, functions)
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	if len(servers.draining.Received()) == 0 {
+		t.Fatal("the server that is to drain was never used")
+	}
+	if late := framesAfterGrace(servers.draining, reloadedAt.Add(announcedAfter), gracePeriod); len(late) > 0 {
+		t.Errorf("%d frames after the grace period, the last one %s", len(late), late[len(late)-1])
+	}
+}
--- a/internal/core/endpoints_test.go
+++ b/internal/core/endpoints_test.go
@@ -40,11 +40,9 @@
 	case 2:
 		event.Update = nil
 	}
-	state.Subscribed()
-	effect, err := state.Apply(event)
+	effect, err := state.Subscribe().Apply(event)
 	if effect == discovery.Resubscribe {
-		state.Subscribed()
-		effect, err = state.Apply(event)
+		effect, err = state.Subscribe().Apply(event)
 	}
 	if err != nil {
 		t.Fatal(err)
--- a/internal/discovery/client.go
+++ b/internal/discovery/client.go
@@ -5,75 +5,101 @@
 	"errors"
 	"net"
 	"os"
+	"slices"
 	"sync"
 	"time"
 
-	"hollymast/internal/backoff"
 	"hollymast/internal/fleet"
 )
 
-// Client keeps a State in sync with a discovery server. Run dials the server and waits for events. Received bytes
-// are read either by Run or by a caller of CatchUp that needs the current endpoint list; one lock covers both.
+// Client keeps a State in sync with a discovery server. Run opens watches and waits for their events; usually there is one,
+// and more while the server is slow. Received bytes are read either by a watch's goroutine or by a caller of CatchUp that
+// needs the current endpoint list; one lock covers both.
 type Client struct {
-	grace          time.Duration // time within which a change of the endpoint list must take effect
-	onUpdate       func(fleet.Update)
-	reportError    func(text string, err error)
-	addressChanged chan struct{} // capacity 1; signals that the address has changed
-	backoff        *backoff.Backoff
+	onUpdate    func(fleet.Update)
+	reportError func(text string, err error)
+	dial        func(ctx context.Context, network, address string) (net.Conn, error) // replaced in tests
+	wake        chan struct{}                                                        // capacity 1; signals Run that another watch may be needed
+	goroutines  sync.WaitGroup
 
 	startOnce sync.Once
 	started   chan struct{}
-	// fastReconnectUntil is the time until which reconnect delays are shortened. It is set when a watch ends before it
-	// is up to date: the events that were still to come count as received at the time of the subscription, so their
-	// grace period is already running. Only Run uses it.
-	fastReconnectUntil time.Time
-
-	mu      sync.Mutex
-	address string
-	state   State
-	watch   *watch // nil: not connected
+
+	mu       sync.Mutex
+	address  string
+	state    State
+	schedule *schedule
+	watches  []*watch // in the order in which they were opened
 	// completeAsOf is the latest time at which the state is known to contain everything that the server had sent.
 	completeAsOf  time.Time
 	subscriptions int // sent so far
 }
 
-// NewClient returns a client that continues from the given state. onUpdate is called with each change, in order and
-// with a lock held, so it must not block or call the client. report is called with each connection error.
+// NewClient returns a client that continues from the given state. grace is the time within which a change of the endpoint
+// list must take effect. onUpdate is called with each change, in order and with a lock held, so it must not block or call
+// the client. report is called with each connection error.
 func NewClient(state State, address string, grace time.Duration, seed uint64, onUpdate func(fleet.Update),
 	report func(string, error)) *Client {
 	return &Client{
-		state:          state,
-		address:        address,
-		grace:          grace,
-		onUpdate:       onUpdate,
-		reportError:    report,
-		addressChanged: make(chan struct{}, 1),
-		started:        make(chan struct{}),
-		backoff:        backoff.New(seed, minBackoff, maxBackoff),
+		state:       state,
+		address:     address,
+		schedule:    newSchedule(seed, grace),
+		onUpdate:    onUpdate,
+		reportError: report,
+		dial:        new(net.Dialer).DialContext,
+		wake:        make(chan struct{}, 1),
+		started:     make(chan struct{}),
 	}
 }
 
 const (
-	// silenceTimeout is how long a connection may receive nothing before it counts as broken. The server sends a message
-	// every second; 1.5 s leaves time to reconnect well within the 4 s after which every event counts as received.
-	silenceTimeout = 1500 * time.Millisecond
+	// MaxWatches bounds the connections that a client has at the same time, those being established included.
+	MaxWatches = 3
 	// dialTimeout is several round trips, and well within the 2 s allowed for reconnecting after a break.
 	dialTimeout = 500 * time.Millisecond
-	// minBackoff and maxBackoff bound the delay between failed attempts: the longest delay and a dial that times out
-	// together stay within those 2 s.
-	minBackoff, maxBackoff = 20 * time.Millisecond, time.Second
 )
 
-// SetAddress switches the client to another address. The old connection is read until the new one is established.
+// SetAddress switches the client to another address. A watch at the old one is read until one at the new one is up to date.
 func (c *Client) SetAddress(address string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.address == address {
+		return
+	}
+	c.readAll()
 	c.address = address
-	if c.watch != nil {
-		c.watch.conn.SetReadDeadline(time.Now()) // wake Run
+	for _, w := range c.watches {
+		w.superseded = true
 	}
+	c.endAllExcept(lastSource(c.openWatches()), errAddressChanged)
+	c.schedule.reset()
+	c.wakeRun()
+}
+
+// lastSource returns the watch from which events are the most likely to come after the server has moved: the latest that
+// was answered, else the latest that has subscribed; nil if there is none.
+func lastSource(watches []*watch) (last *watch) {
+	for _, w := range watches {
+		if w.answered() || w.conn != nil && (last == nil || !last.answered()) {
+			last = w
+		}
+	}
+	return last
+}
+
+// endAllExcept ends all watches but one. The caller holds the lock.
+func (c *Client) endAllExcept(kept *watch, err error) {
+	for _, w := range c.watches {
+		if w != kept {
+			w.markEnded(err)
+		}
+	}
+}
+
+// wakeRun makes Run check whether another watch is needed.
+func (c *Client) wakeRun() {
 	select {
-	case c.addressChanged <- struct{}{}:
+	case c.wake <- struct{}{}:
 	default:
 	}
 }
@@ -81,18 +107,28 @@
 // CatchUp reads everything that the server has sent so far and returns the time as of which the endpoint list is
 // complete. Without a connection there is nothing more to read, and it returns the current time.
 //
-// It leaves closing an ended connection to Run: a close waits for all readers of the descriptor, and Run may be such a
-// reader that waits for the lock held here, which would be a deadlock.
+// It leaves closing an ended connection to the watch's goroutine: a close waits for all readers of the descriptor, and that
+// goroutine may be such a reader that waits for the lock held here, which would be a deadlock.
 func (c *Client) CatchUp() (asOf time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if w := c.watch; w != nil {
-		if w.readAll(c) == nil {
-			c.noteComplete(w)
-			return w.completeAsOf
+	return c.readAll()
+}
+
+// readAll reads everything that has arrived on all watches. It returns the time as of which the endpoint list is complete.
+// The caller holds the lock.
+func (c *Client) readAll() (asOf time.Time) {
+	asOf = time.Now()
+	for _, w := range c.watches {
+		if w.conn == nil || w.readAll(c) != nil {
+			continue
+		}
+		c.noteComplete(w)
+		if w.completeAsOf.Before(asOf) {
+			asOf = w.completeAsOf
 		}
 	}
-	return time.Now()
+	return asOf
 }
 
 // CompleteAsOf returns the latest time at which the endpoint list is known to contain everything that the server had
@@ -105,11 +141,25 @@
 
 // noteComplete advances completeAsOf after everything that arrived on a watch was read. The caller holds the lock.
 func (c *Client) noteComplete(w *watch) {
-	if c.state.UpToDate() && len(w.partialLine) == 0 && !w.skippingLine {
+	if w.phase() == receiving && w.subscription.UpToDate() && !w.withinLine() && w.completeAsOf.After(c.completeAsOf) {
 		c.completeAsOf = w.completeAsOf
 	}
 }
 
+// Revision returns the revision of the last event that was applied.
+func (c *Client) Revision() uint64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.state.Revision()
+}
+
+// Subscriptions returns how many subscriptions were sent so far.
+func (c *Client) Subscriptions() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.subscriptions
+}
+
 // Started returns a channel that is closed when waiting for the first endpoint list is over: the server has answered,
 // has not answered in time, or can't be reached.
 func (c *Client) Started() <-chan struct{} { return c.started }
@@ -118,219 +168,221 @@
 
 // Run keeps the state in sync until the context ends. It must be called only once.
 func (c *Client) Run(ctx context.Context) {
+	defer c.goroutines.Wait()
 	defer c.close()
 	for ctx.Err() == nil {
-		revision, began := c.Revision(), time.Now()
-		w, err := c.open(ctx)
-		if err == nil {
-			if err = c.readWatch(ctx, w); !c.upToDate() {
-				c.fastReconnectUntil = time.Now().Add(c.grace)
-			}
-		}
-		if ctx.Err() != nil {
-			return
-		}
-		c.markStarted()
-		c.reportError("reconnecting to discovery", describeEnd(w, err))
-		if errors.Is(err, errAddressChanged) {
-			c.backoff.Reset()
-			c.clearAddressChanged()
-			continue
-		}
-		if c.Revision() > revision || time.Since(began) >= silenceTimeout { // the connection was usable
-			c.backoff.Reset()
-		}
 		select {
-		case <-time.After(c.backoff.NextWithin(c.boundReconnectWait(maxBackoff))):
-		case <-c.addressChanged:
-			c.backoff.Reset()
+		case <-time.After(c.openIfDue(ctx)):
+		case <-c.wake:
 		case <-ctx.Done():
 		}
 	}
 }
 
-// Revision returns the revision of the last event that was applied.
-func (c *Client) Revision() uint64 {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.state.Revision()
+// openIfDue opens another watch if one is due, and returns how long to wait until the next check.
+func (c *Client) openIfDue(ctx context.Context) (wait time.Duration) {
+	opened, late, wait := c.addIfDue(ctx)
+	if late != nil {
+		c.reportError("discovery is slow: opening another watch", late)
+	}
+	if opened != nil {
+		c.goroutines.Go(func() { c.runWatch(opened) })
+	}
+	return wait
 }
 
-// Subscriptions returns how many subscriptions were sent so far.
-func (c *Client) Subscriptions() int {
+// addIfDue adds another watch if one is due. late describes the watch that should have received something by now, if any.
+func (c *Client) addIfDue(ctx context.Context) (added *watch, late error, wait time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.subscriptions
+	if wait := time.Until(c.schedule.nextOpening(time.Now(), c.watches)); wait > 0 {
+		return nil, nil, wait
+	}
+	c.readAll() // what arrived during a stall of this process
+	now := time.Now()
+	if wait := c.schedule.nextOpening(now, c.watches).Sub(now); wait > 0 {
+		return nil, nil, wait
+	}
+	if w := c.schedule.opened(now, c.watches); w != nil {
+		late = w.describe(now, errSilent)
+	}
+	added = c.addWatch(ctx, now)
+	return added, late, c.schedule.nextOpening(now, c.watches).Sub(now)
 }
 
-// upToDate reports whether the last watch reached the server's current revision.
-func (c *Client) upToDate() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.state.UpToDate()
+// addWatch adds a watch that is to be established. It ends another one if there would be too many. The caller holds the
+// lock.
+func (c *Client) addWatch(ctx context.Context, now time.Time) *watch {
+	if open := c.openWatches(); len(open) >= MaxWatches {
+		leastPromising(open).markEnded(errReplaced)
+	}
+	w := &watch{address: c.address, openedAt: now}
+	w.context, w.cancel = context.WithCancel(ctx)
+	c.watches = append(c.watches, w)
+	return w
 }
 
-// boundReconnectWait shortens a delay or a dial timeout until fastReconnectUntil: each takes at most a quarter of the
-// grace period. The other half is left for the server's answer and for sending to the model server
-// (attempt.MaxEndpointsAge).
-func (c *Client) boundReconnectWait(usual time.Duration) time.Duration {
-	if time.Now().Before(c.fastReconnectUntil) {
-		return min(usual, c.grace/4)
+// openWatches returns the watches that have not ended. The caller holds the lock.
+func (c *Client) openWatches() (open []*watch) {
+	for _, w := range c.watches {
+		if w.endErr == nil {
+			open = append(open, w)
+		}
 	}
-	return usual
+	return open
 }
 
-// open dials and subscribes to all events after the current revision. Between the two it reads what the previous watch
-// has received, and closes that watch.
-func (c *Client) open(ctx context.Context) (*watch, error) {
-	c.mu.Lock()
-	address := c.address
-	c.mu.Unlock()
-	dialer := net.Dialer{Timeout: c.boundReconnectWait(dialTimeout)}
-	conn, err := dialer.DialContext(ctx, "tcp", address)
+// leastPromising returns the watch that is the least likely to be answered next: one that misses an event, else the
+// youngest, since a crowded server answers in the order of the subscriptions, but rather one without a connection.
+func leastPromising(watches []*watch) *watch {
+	for _, w := range watches {
+		if w.subscription != nil && w.subscription.Missing() {
+			return w
+		}
+	}
+	for _, w := range slices.Backward(watches) {
+		if w.phase() == dialing {
+			return w
+		}
+	}
+	return watches[len(watches)-1]
+}
+
+// runWatch establishes a watch and reads it until it ends.
+func (c *Client) runWatch(w *watch) {
+	err := c.establish(w)
+	if err == nil {
+		err = c.readWatch(w)
+	}
+	c.remove(w, err)
+}
+
+// establish connects and subscribes to all events after the current revision. Before that it reads what the other watches
+// have received.
+func (c *Client) establish(w *watch) error {
+	dialContext, cancel := context.WithTimeout(w.context, dialTimeout)
+	defer cancel()
+	conn, err := c.dial(dialContext, "tcp", w.address)
 	if err != nil {
-		return nil, err
+		return err
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.address != address {
-		conn.Close()
-		return nil, errAddressChanged
-	}
-	if c.watch != nil {
-		c.watch.readAll(c)
-		c.closeWatch(c.watch)
+	if w.endErr == nil {
+		c.readAll()
+		err = w.subscribe(conn, &c.state)
 	}
-	w, err := newWatch(conn, address, c.state.Revision())
-	if err != nil {
+	if err = w.markEnded(err); err != nil {
 		conn.Close()
-		return nil, err
+		return err
 	}
-	c.state.Subscribed()
-	c.watch = w
 	c.subscriptions++
-	return w, nil
+	return nil
 }
 
-// readWatch reads a watch until the connection breaks or times out, an event is missing, or the address changes.
-func (c *Client) readWatch(ctx context.Context, w *watch) error {
-	unblock := context.AfterFunc(ctx, func() {
+// readWatch reads a watch until it ends.
+func (c *Client) readWatch(w *watch) error {
+	unblock := context.AfterFunc(w.context, func() {
 		c.mu.Lock()
 		defer c.mu.Unlock()
-		w.conn.SetReadDeadline(time.Now())
+		w.markEnded(w.context.Err())
 	})
 	defer unblock()
 	// A server without new events sends nothing until its next heartbeat.
-	answerTime := time.AfterFunc(c.grace/4, c.markStarted)
+	answerTime := time.AfterFunc(c.schedule.grace/4, c.markStarted)
 	defer answerTime.Stop()
 	for {
-		err := w.wait(func(fd uintptr) error { return c.readReady(ctx, w, fd) })
+		err := w.wait(func(fd uintptr) error { return c.readReady(w, fd) })
 		if errors.Is(err, os.ErrDeadlineExceeded) {
-			err = c.readAfterDeadline(ctx, w)
-		}
-		if errors.Is(err, errAddressChanged) {
-			return err
+			err = c.readAfterDeadline(w)
 		}
 		if err != nil {
-			return c.closeEnded(w, err)
+			return err
 		}
 	}
 }
 
-// readReady reads what has arrived and sets the read deadline to silenceTimeout after the last line.
-func (c *Client) readReady(ctx context.Context, w *watch, fd uintptr) error {
+// readReady reads what has arrived.
+func (c *Client) readReady(w *watch, fd uintptr) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if err := c.stopReason(ctx, w); err != nil {
-		return err
-	}
 	if err := w.markEnded(w.readAvailable(fd, c)); err != nil {
 		return err
 	}
 	c.noteComplete(w)
-	w.conn.SetReadDeadline(w.lastLine.Add(silenceTimeout))
 	return nil
 }
 
-// stopReason returns why a watch must no longer be read (the context has ended or the address has changed), or nil. The
-// caller holds the lock.
-func (c *Client) stopReason(ctx context.Context, w *watch) error {
-	if ctx.Err() != nil {
-		return ctx.Err()
-	}
-	if c.address != w.address {
-		return errAddressChanged
-	}
-	return nil
-}
-
-// clearAddressChanged removes a pending address change signal that is being handled.
-func (c *Client) clearAddressChanged() {
-	select {
-	case <-c.addressChanged:
-	default:
-	}
-}
-
-// readAfterDeadline reads once more after the read deadline of a watch has passed. The deadline may have passed while
-// this process was stalled; lines that arrived meanwhile must be read before the connection counts as silent.
-func (c *Client) readAfterDeadline(ctx context.Context, w *watch) error {
+// readAfterDeadline removes the read deadline of a watch that has not ended, and reads what has arrived.
+func (c *Client) readAfterDeadline(w *watch) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if err := c.stopReason(ctx, w); err != nil {
-		return err
-	}
-	if err := w.readAll(c); err != nil {
-		return err
+	if w.endErr == nil {
+		w.conn.SetReadDeadline(time.Time{})
 	}
-	if time.Since(w.lastLine) >= silenceTimeout {
-		return errSilent
-	}
-	w.conn.SetReadDeadline(w.lastLine.Add(silenceTimeout))
-	return nil
+	return w.readAll(c)
 }
 
 // handleLine applies one line. The caller holds the lock.
-func (c *Client) handleLine(line []byte) error {
-	effect, err := c.state.HandleLine(line)
+func (c *Client) handleLine(w *watch, line []byte) error {
+	effect, err := w.subscription.HandleLine(line)
 	if err != nil {
 		return err
 	}
 	c.markStarted()
-	switch effect {
-	case EndpointsChanged:
+	switch {
+	case effect == EndpointsChanged:
 		c.onUpdate(c.state.Update())
-	case Resubscribe:
-		return errEventMissing
+	case effect == Resubscribe && !w.missingEventKnown:
+		w.missingEventKnown = true
+		c.failed(w)
+	}
+	if w.phase() == receiving && w.subscription.UpToDate() {
+		w.missingEventKnown = false
+		c.schedule.upToDate()
+		c.endAllExcept(w, errReplaced)
 	}
 	return nil
 }
 
-// handleLongLine handles a line that exceeds maxLine. The caller holds the lock.
-func (c *Client) handleLongLine() (skip bool) { return c.state.HandleLongLine() }
+// failed makes the schedule open another watch soon, because this one has ended or misses an event. The caller holds the
+// lock.
+func (c *Client) failed(w *watch) {
+	subscribed := w.subscription != nil
+	useful := w.answered() && (w.subscription.Applied() || time.Since(w.subscribedAt) >= silenceTimeout)
+	c.schedule.failed(time.Now(), useful, subscribed && !w.subscription.UpToDate())
+	c.wakeRun()
+}
 
-// closeEnded closes a watch that has ended and returns the first error that ended it.
-func (c *Client) closeEnded(w *watch, err error) error {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	err = w.markEnded(err)
-	c.closeWatch(w)
-	return err
+// remove closes a watch that has ended and removes it.
+func (c *Client) remove(w *watch, err error) {
+	if unexpected := c.closeWatch(w, err); unexpected != nil {
+		c.reportError("reconnecting to discovery", unexpected)
+	}
 }
 
-// closeWatch closes a watch. The caller holds the lock, and must be Run's goroutine outside a read (see CatchUp).
-func (c *Client) closeWatch(w *watch) {
-	w.markEnded(net.ErrClosed)
-	w.conn.Close()
-	if c.watch == w {
-		c.watch = nil
+// closeWatch closes and removes a watch that has ended. It returns why, if another one is needed in its place.
+func (c *Client) closeWatch(w *watch, err error) (unexpected error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	stopped := w.context.Err() != nil // the client has ended, or the watch was replaced while it was dialing
+	end := w.markEnded(err)
+	w.cancel()
+	if w.conn != nil {
+		w.conn.Close()
 	}
+	c.watches = slices.DeleteFunc(c.watches, func(other *watch) bool { return other == w })
+	if stopped || w.superseded || errors.Is(end, errReplaced) {
+		return nil
+	}
+	c.markStarted()
+	c.failed(w)
+	return w.describe(time.Now(), end)
 }
 
+// close ends all watches.
 func (c *Client) close() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.watch != nil {
-		c.closeWatch(c.watch)
-	}
+	c.endAllExcept(nil, net.ErrClosed)
 }
--- a/internal/discovery/client_test.go
+++ b/internal/discovery/client_test.go
@@ -24,19 +24,27 @@
 	lists chan []fleet.Endpoint
 }
 
-func newManualClient(address string) manualClient {
+func newManualClient(address string) *manualClient {
 	lists := make(chan []fleet.Endpoint, 8)
-	return manualClient{NewClient(State{}, address, testGrace, 1, sendLists(lists), func(string, error) {}), lists}
+	return &manualClient{NewClient(State{}, address, testGrace, 1, sendLists(lists), func(string, error) {}), lists}
+}
+
+// open opens a watch without reading it.
+func (m *manualClient) open(ctx context.Context) (*watch, error) {
+	m.mu.Lock()
+	w := m.addWatch(ctx, time.Now())
+	m.mu.Unlock()
+	return w, m.establish(w)
 }
 
 // subscribe opens a watch and returns it with the server's end of the connection.
-func (m manualClient) subscribe(t *testing.T, conns chan net.Conn, subscriptions chan string) (*watch, net.Conn) {
+func (m *manualClient) subscribe(t *testing.T, conns chan net.Conn, subscriptions chan string) (*watch, net.Conn) {
 	t.Helper()
 	w, err := m.open(context.Background())
 	if err != nil {
 		t.Fatal(err)
 	}
-	t.Cleanup(m.close)
+	t.Cleanup(func() { m.closeWatch(w, net.ErrClosed) })
 	receive(t, "a subscription", subscriptions)
 	return w, receive(t, "a connection", conns)
 }
@@ -98,13 +106,12 @@
 	fmt.Fprintln(c, fullEvent(1, "a", "10.0.0.1:1", "ready"))
 	w.awaitInput(t)
 	w.conn.SetReadDeadline(time.Now().Add(-time.Second))
-	ctx, stop := context.WithCancel(context.Background())
 	ended := make(chan error, 1)
-	go func() { ended <- client.readWatch(ctx, w) }()
+	go func() { ended <- client.readWatch(w) }()
 	receive(t, "the list", client.lists)
 	fmt.Fprintln(c, event(2, "b", "10.0.0.2:1", "ready"))
 	receive(t, "a list on the same connection", client.lists)
-	stop()
+	w.cancel()
 	<-ended
 }
 
@@ -195,7 +202,7 @@
 func TestStartedAfterFirstAnswer(t *testing.T) {
 	address, conns, subscriptions := startServer(t)
 	client := newManualClient(address)
-	client.grace = time.Hour
+	client.schedule.grace = time.Hour
 	w, c := client.subscribe(t, conns, subscriptions)
 	select {
 	case <-client.Started():
@@ -231,7 +238,7 @@
 func TestCompleteAsOfLastCompleteAnswer(t *testing.T) {
 	address, conns, subscriptions := startServer(t)
 	client := newManualClient(address)
-	_, c := client.subscribe(t, conns, subscriptions)
+	w, c := client.subscribe(t, conns, subscriptions)
 	fmt.Fprintln(c, fullEvent(1, "a", "10.0.0.1:1", "ready"))
 	catchUp := func() (before time.Time) {
 		before = time.Now()
@@ -255,12 +262,12 @@
 		t.Error("not complete as of the last read")
 	}
 	fmt.Fprint(c, `{"rev":2`) // an incomplete event
-	client.watch.awaitInput(t)
+	w.awaitInput(t)
 	if before := catchUp(); !client.CompleteAsOf().Before(before) {
 		t.Error("complete with an incomplete event")
 	}
 	c.Close()
-	catchUpUntil("the end is not read", func() bool { return client.watch.endErr != nil })
+	catchUpUntil("the end is not read", func() bool { return w.endErr != nil })
 	complete := client.CompleteAsOf()
 	_, c = client.subscribe(t, conns, subscriptions)
 	fmt.Fprintln(c, event(2, "b", "10.0.0.2:1", "ready"))
--- /dev/null
+++ b/internal/discovery/slowserver_test.go
@@ -0,0 +1,202 @@
+package discovery
+
+import (
+	"bufio"
+	"fmt"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"hollymast/control"
+	"hollymast/internal/fleet"
+)
+
+// slowServer is a discovery server that takes its time. Its events are those of a list with server a, which event 2 drains.
+type slowServer struct {
+	listener net.Listener
+	serve    func(c net.Conn, nth int) // serves the watch with this number, from 1; the connection is closed after it
+	mu       sync.Mutex
+	watches  int
+}
+
+func newSlowServer(t *testing.T, serve func(c net.Conn, nth int)) *slowServer {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := &slowServer{listener: l, serve: serve}
+	t.Cleanup(func() { l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go s.watch(c)
+		}
+	}()
+	return s
+}
+
+func (s *slowServer) watch(c net.Conn) {
+	defer c.Close()
+	if _, err := bufio.NewReader(c).ReadString('\n'); err != nil {
+		return
+	}
+	s.mu.Lock()
+	s.watches++
+	nth := s.watches
+	s.mu.Unlock()
+	s.serve(c, nth)
+}
+
+func (s *slowServer) address() string { return s.listener.Addr().String() }
+
+// subscriptions returns how many watches were requested so far.
+func (s *slowServer) subscriptions() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.watches
+}
+
+const (
+	readyEvent = `{"rev":1,"pool":{"all":true,"targets":[{"uid":"a","endpoint":"10.0.0.1:1","state":"ready"}]}}` + "\n"
+	drainEvent = `{"rev":2,"pool":{"targets":[{"uid":"a","endpoint":"10.0.0.1:1","state":"draining"}]}}` + "\n"
+)
+
+// sendDrain sends all events and then heartbeats until the connection is closed.
+func sendDrain(c net.Conn) {
+	fmt.Fprint(c, readyEvent, drainEvent)
+	sendHeartbeats(c, 2, time.Second)
+}
+
+func sendHeartbeats(c net.Conn, revision int, interval time.Duration) {
+	for {
+		if _, err := fmt.Fprintln(c, revision); err != nil {
+			return
+		}
+		time.Sleep(interval)
+	}
+}
+
+// awaitDrain waits until a list has server a draining. It fails the test if that takes longer than limit.
+func awaitDrain(t *testing.T, lists <-chan []fleet.Endpoint, limit time.Duration) {
+	t.Helper()
+	timeout := time.After(limit)
+	for {
+		select {
+		case list := <-lists:
+			if len(list) == 1 && list[0].State == control.Draining {
+				return
+			}
+		case <-timeout:
+			t.Errorf("the drain was not read within %v", limit)
+			return
+		}
+	}
+}
+
+// lateness is how much later than planned a test's goroutines may run on a busy machine.
+const lateness = 400 * time.Millisecond
+
+// Guards against a list that stays old because a slow server's answer is never awaited: each watch was given up after
+// 1.5 s without an answer, and the next one waited just as long in vain.
+func TestLateAnswerIsRead(t *testing.T) {
+	const silenceNoticed = 1750 * time.Millisecond
+	for _, c := range []struct {
+		name    string
+		extra   time.Duration                                           // until the slow watch is requested
+		disrupt func(client *Client, first net.Conn, moved *slowServer) // ends the use of the first watch; nil: the first one is slow
+	}{
+		{"at the start", 0, nil},
+		{"after a move", 0, func(client *Client, _ net.Conn, moved *slowServer) { client.SetAddress(moved.address()) }},
+		{"after a break", 50 * time.Millisecond, func(_ *Client, first net.Conn, _ *slowServer) { first.Close() }},
+		{"after silence", silenceNoticed, func(*Client, net.Conn, *slowServer) {}},
+	} {
+		for _, delay := range []time.Duration{1700 * time.Millisecond, 2 * time.Second, 3 * time.Second} {
+			t.Run(fmt.Sprint(c.name, " ", delay), func(t *testing.T) {
+				t.Parallel()
+				serveLate := func(conn net.Conn, _ int) {
+					time.Sleep(delay)
+					sendDrain(conn)
+				}
+				first := make(chan net.Conn, 1)
+				server := newSlowServer(t, func(conn net.Conn, nth int) {
+					if c.disrupt == nil || nth > 1 {
+						serveLate(conn, nth)
+						return
+					}
+					fmt.Fprint(conn, readyEvent, "1\n")
+					first <- conn
+					time.Sleep(time.Minute)
+				})
+				client, lists := startClient(t, server.address())
+				if c.disrupt != nil {
+					receive(t, "the first list", lists)
+					c.disrupt(client, receive(t, "the first watch", first), newSlowServer(t, serveLate))
+				}
+				awaitDrain(t, lists, c.extra+delay+lateness)
+			})
+		}
+	}
+}
+
+// Guards against a fleet that crowds a slow server further: each client gave up after 1.5 s and subscribed again, so the
+// server worked off subscriptions that nobody waited for, and those behind them were never answered in time.
+func TestFleetLeavesCrowdedServerTimeToAnswer(t *testing.T) {
+	const (
+		clients     = 150
+		perAnswer   = 20 * time.Millisecond
+		timeForAll  = clients * perAnswer // 3 s
+		maxRepeated = clients             // one more subscription of each client
+	)
+	queue := make(chan net.Conn, 100*clients)
+	closing := make(chan struct{})
+	t.Cleanup(func() { close(closing) })
+	server := newSlowServer(t, func(c net.Conn, _ int) {
+		queue <- c
+		<-closing
+	})
+	go func() { // answers one subscription at a time, abandoned ones too
+		for {
+			select {
+			case c := <-queue:
+				time.Sleep(perAnswer)
+				go sendDrain(c)
+			case <-closing:
+				return
+			}
+		}
+	}()
+	var drained sync.WaitGroup
+	for i := range clients {
+		lists := make(chan []fleet.Endpoint, 8)
+		runClient(t, NewClient(State{}, server.address(), testGrace, uint64(i), sendLists(lists), func(string, error) {}))
+		drained.Go(func() { awaitDrain(t, lists, timeForAll*5/4+lateness) })
+	}
+	drained.Wait()
+	if n := server.subscriptions(); n > clients+maxRepeated {
+		t.Errorf("%d clients subscribed %d times", clients, n)
+	}
+}
+
+// Guards against watches that are given up and requested again each time that a crowded server's heartbeat is late.
+func TestLateHeartbeatsAreTolerated(t *testing.T) {
+	t.Parallel()
+	const (
+		interval = 2200 * time.Millisecond
+		duration = 10 * time.Second
+		limit    = 3 // the first, and two before the client expects late heartbeats
+	)
+	server := newSlowServer(t, func(c net.Conn, _ int) {
+		fmt.Fprint(c, readyEvent)
+		sendHeartbeats(c, 1, interval)
+	})
+	startClient(t, server.address())
+	time.Sleep(duration)
+	if n := server.subscriptions(); n > limit {
+		t.Errorf("subscribed %d times in %v", n, duration)
+	}
+}
--- a/internal/discovery/state.go
+++ b/internal/discovery/state.go
@@ -1,11 +1,10 @@
 // Package discovery keeps an endpoint list in sync with a discovery server, which sends changes as numbered events, one
-// per line. State interprets the lines and decides when to subscribe again, without I/O or clocks; Client does the I/O.
+// per line. State and Subscription interpret the lines, and schedule decides when to subscribe again, all without I/O or
+// clocks; Client does the I/O.
 package discovery
 
 import (
-	"bytes"
 	"cmp"
-	"encoding/json"
 	"fmt"
 	"maps"
 	"math"
@@ -49,11 +48,9 @@
 
 // State is the endpoint list received so far. The zero value is an empty list. It is not safe for concurrent use.
 type State struct {
-	revision   uint64
-	servers    map[string]fleet.Endpoint
-	update     fleet.Update // the change made by the last applied event
-	subscribed bool         // no event has been applied since the last subscription
-	upToDate   bool         // a heartbeat since the last subscription confirmed that no event is missing
+	revision uint64
+	servers  map[string]fleet.Endpoint
+	update   fleet.Update // the change made by the last applied event
 	// retried is set once the event after retriedRevision was unusable and has been requested again. Without it, an event
 	// that stays unusable would be requested forever, and a drain after it would never be read.
 	retried         bool
@@ -63,12 +60,6 @@
 // Revision returns the revision of the last event that was applied.
 func (s *State) Revision() uint64 { return s.revision }
 
-// Subscribed records that the client has subscribed to all events after Revision.
-func (s *State) Subscribed() { s.subscribed, s.upToDate = true, false }
-
-// UpToDate reports whether a heartbeat since the last subscription has confirmed that no event is missing.
-func (s *State) UpToDate() bool { return s.upToDate }
-
 // recordRetry records that the event after the current revision is unusable, and reports whether this was already recorded
 // for the same revision.
 func (s *State) recordRetry() (alreadyRetried bool) {
@@ -77,10 +68,6 @@
 	return alreadyRetried
 }
 
-// HandleLongLine handles a line that is too long for an event. It returns true if the event after the current revision was
-// already unusable when it was last sent: the caller must then skip the line and handle the lines after it.
-func (s *State) HandleLongLine() (skip bool) { return s.recordRetry() }
-
 // Effect tells what the caller must do after a line was handled.
 type Effect uint8
 
@@ -91,34 +78,6 @@
 	Resubscribe             // an event is missing; subscribe again to all events after Revision
 )
 
-// HandleLine handles an event, a heartbeat (the revision of the server's last event) or an empty line. An error means
-// that the line is unusable: nothing of it was applied, and the caller must subscribe again to all events after
-// Revision. A line that is unusable again after that is skipped, so that the lines after it are read.
-func (s *State) HandleLine(line []byte) (Effect, error) {
-	line = bytes.TrimSpace(line)
-	if len(line) == 0 {
-		return None, nil
-	}
-	if line[0] != '{' {
-		n, err := strconv.ParseUint(string(line), 10, 64)
-		if err != nil {
-			return s.errorOnce(fmt.Errorf("discovery: heartbeat %q is not a number", line[:min(len(line), 40)]))
-		}
-		if n > s.revision {
-			return Resubscribe, nil
-		}
-		if n == s.revision {
-			s.upToDate, s.retried = true, false
-		}
-		return None, nil
-	}
-	var e Event
-	if err := json.Unmarshal(line, &e); err != nil {
-		return s.errorOnce(fmt.Errorf("discovery: %w", err))
-	}
-	return s.Apply(e)
-}
-
 // errorOnce returns err the first time that the event after the current revision is unusable, and nil from then on.
 func (s *State) errorOnce(err error) (Effect, error) {
 	if s.recordRetry() {
@@ -127,35 +86,30 @@
 	return None, err
 }
 
-// Apply applies one event and ignores an old one. An event after a gap is applied only if the gap is still there after a
-// second subscription: then the server has no events for those revisions.
-func (s *State) Apply(e Event) (Effect, error) {
-	if e.Revision <= s.revision {
+// isAfterGap reports whether events are missing between the last applied event and e.
+func (s *State) isAfterGap(e Event) bool { return s.revision > 0 && e.Revision > s.revision+1 }
+
+// apply applies the event that follows the current revision. An invalid event is skipped if it was invalid before.
+func (s *State) apply(e Event) (Effect, error) {
+	if e.Update == nil {
+		s.revision = e.Revision
 		return None, nil
 	}
-	if e.Revision > s.revision+1 && s.revision > 0 && (!s.subscribed || !s.recordRetry()) {
-		return Resubscribe, nil
-	}
-	if e.Update != nil {
-		if err := e.Update.validate(); err != nil {
-			effect, err := s.errorOnce(err)
-			if err == nil {
-				s.revision, s.subscribed = e.Revision, false
-			}
-			return effect, err
+	if err := e.Update.validate(); err != nil {
+		effect, err := s.errorOnce(err)
+		if err == nil {
+			s.revision = e.Revision
 		}
-		s.update = s.apply(e)
-	}
-	s.revision, s.subscribed = e.Revision, false
-	if e.Update == nil {
-		return None, nil
+		return effect, err
 	}
+	s.update = s.applyServers(e)
+	s.revision = e.Revision
 	return EndpointsChanged, nil
 }
 
-// apply applies the servers of an event and returns the change: the full list if the event is the first one, lists all
+// applyServers applies the servers of an event and returns the change: the full list if the event is the first one, lists all
 // servers or follows a gap.
-func (s *State) apply(e Event) fleet.Update {
+func (s *State) applyServers(e Event) fleet.Update {
 	full := e.Update.All || s.servers == nil || e.Revision > s.revision+1
 	if e.Update.All || s.servers == nil {
 		s.servers = map[string]fleet.Endpoint{}
@@ -214,10 +168,13 @@
 func (s *State) Restore(h History) error {
 	defer s.Update()
 	for _, e := range h.Events {
-		if s.revision > 0 && e.Revision > s.revision+1 {
+		if s.isAfterGap(e) {
 			break
 		}
-		if _, err := s.Apply(e); err != nil {
+		if e.Revision <= s.revision {
+			continue
+		}
+		if _, err := s.apply(e); err != nil {
 			return err
 		}
 	}
--- a/internal/discovery/state_test.go
+++ b/internal/discovery/state_test.go
@@ -52,12 +52,12 @@
 	} {
 		var s State
 		s.Restore(History{Revision: 3})
-		s.Subscribed()
+		subscription := s.Subscribe()
 		s.revision = 2
-		if _, err := s.HandleLine([]byte(fullEvent(3, "a", "10.0.0.1:1", "ready"))); err != nil {
+		if _, err := subscription.HandleLine([]byte(fullEvent(3, "a", "10.0.0.1:1", "ready"))); err != nil {
 			t.Fatal(err)
 		}
-		effect, err := s.HandleLine([]byte(c.line + "\n"))
+		effect, err := subscription.HandleLine([]byte(c.line + "\n"))
 		if effect != c.effect || (err != nil) != c.fails || len(s.Endpoints()) != c.servers {
 			t.Errorf("%s: %v, %v, %d servers", c.name, effect, err, len(s.Endpoints()))
 		}
@@ -238,15 +238,14 @@
 	}
 }
 
-// newState returns a state that has applied event 1 with server a, and has subscribed to the events after it.
-func newState(t *testing.T) *State {
+// newState returns a state that has applied event 1 with server a, and a subscription to the events after it.
+func newState(t *testing.T) (*State, *Subscription) {
 	t.Helper()
 	s := &State{}
-	if _, err := s.HandleLine([]byte(fullEvent(1, "a", "10.0.0.1:1", "ready"))); err != nil {
+	if _, err := s.Subscribe().HandleLine([]byte(fullEvent(1, "a", "10.0.0.1:1", "ready"))); err != nil {
 		t.Fatal(err)
 	}
-	s.Subscribed()
-	return s
+	return s, s.Subscribe()
 }
 
 // An unusable event leaves the list unchanged and is requested again. If it is still unusable, it is skipped and the
@@ -258,18 +257,18 @@
 		"no address":    event(2, "b", "", "ready"),
 		"not an object": "two",
 	} {
-		s := newState(t)
-		if _, err := s.HandleLine([]byte(bad)); err == nil {
+		s, subscription := newState(t)
+		if _, err := subscription.HandleLine([]byte(bad)); err == nil {
 			t.Errorf("%s: accepted", name)
 		}
 		if list := s.Endpoints(); len(list) != 1 || list[0].State != control.Ready || s.Revision() != 1 {
 			t.Errorf("%s: the list is %v at revision %d", name, list, s.Revision())
 		}
-		s.Subscribed()
-		if _, err := s.HandleLine([]byte(bad)); err != nil {
+		subscription = s.Subscribe()
+		if _, err := subscription.HandleLine([]byte(bad)); err != nil {
 			t.Errorf("%s: not skipped on repeat: %v", name, err)
 		}
-		effect, err := s.HandleLine([]byte(event(3, "a", "10.0.0.1:1", "draining")))
+		effect, err := subscription.HandleLine([]byte(event(3, "a", "10.0.0.1:1", "draining")))
 		if list := s.Endpoints(); err != nil || effect != EndpointsChanged || list[0].State != control.Draining {
 			t.Errorf("%s: the drain after it gave %v, %v, %v", name, effect, err, list)
 		}
@@ -278,28 +277,28 @@
 
 // After a heartbeat, the next unusable event is requested again instead of being skipped at once.
 func TestHeartbeatResetsRetry(t *testing.T) {
-	s := newState(t)
-	if _, err := s.HandleLine([]byte("noise")); err == nil {
+	s, subscription := newState(t)
+	if _, err := subscription.HandleLine([]byte("noise")); err == nil {
 		t.Error("accepted")
 	}
-	s.Subscribed()
-	s.HandleLine([]byte("1"))
-	if _, err := s.HandleLine([]byte("noise")); err == nil {
+	subscription = s.Subscribe()
+	subscription.HandleLine([]byte("1"))
+	if _, err := subscription.HandleLine([]byte("noise")); err == nil {
 		t.Error("skipped at once")
 	}
 }
 
 // Events in a gap are requested once more before the gap is accepted.
 func TestGapIsRequestedOnce(t *testing.T) {
-	s := newState(t)
+	s, subscription := newState(t)
 	gap := []byte(event(3, "b", "10.0.0.2:1", "ready"))
-	if effect, err := s.HandleLine(gap); effect != Resubscribe || err != nil {
+	if effect, err := subscription.HandleLine(gap); effect != Resubscribe || err != nil {
 		t.Errorf("the first time: %v, %v", effect, err)
 	}
-	if s.Subscribed(); s.Revision() != 1 {
+	if subscription = s.Subscribe(); s.Revision() != 1 {
 		t.Errorf("subscribed after revision %d", s.Revision())
 	}
-	if effect, err := s.HandleLine(gap); effect != EndpointsChanged || err != nil {
+	if effect, err := subscription.HandleLine(gap); effect != EndpointsChanged || err != nil {
 		t.Errorf("the second time: %v, %v", effect, err)
 	}
 }
@@ -326,14 +325,14 @@
 
 // A heartbeat confirms that the answer to the subscription is complete.
 func TestUpToDate(t *testing.T) {
-	s := newState(t)
-	if s.UpToDate() {
+	s, subscription := newState(t)
+	if subscription.UpToDate() {
 		t.Error("up to date before the heartbeat")
 	}
-	if s.HandleLine([]byte("1")); !s.UpToDate() {
+	if subscription.HandleLine([]byte("1")); !subscription.UpToDate() {
 		t.Error("not up to date after the heartbeat")
 	}
-	if s.Subscribed(); s.UpToDate() {
+	if subscription = s.Subscribe(); subscription.UpToDate() {
 		t.Error("up to date before the new subscription was answered")
 	}
 }
@@ -365,13 +364,12 @@
 		{"after a gap", 3, UpdateMessage{Endpoints: []EndpointMessage{ready("b", "10.0.0.2:1")}}, true, "a 2 b 2 "},
 	} {
 		s := State{}
-		s.Apply(Event{1, &UpdateMessage{Endpoints: []EndpointMessage{ready("a", "10.0.0.1:1")}}})
+		s.Subscribe().Apply(Event{1, &UpdateMessage{Endpoints: []EndpointMessage{ready("a", "10.0.0.1:1")}}})
 		if update := s.Update(); !update.Full || len(update.Endpoints) != 1 {
 			t.Errorf("the first event updated %v", update)
 		}
 		for range 2 { // the first time, a gap is only requested again
-			s.Subscribed()
-			s.Apply(Event{c.rev, &c.message})
+			s.Subscribe().Apply(Event{c.rev, &c.message})
 		}
 		update, updated := s.Update(), ""
 		for _, e := range update.Endpoints {
--- a/internal/discovery/watch.go
+++ b/internal/discovery/watch.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"errors"
 	"fmt"
 	"io"
@@ -11,20 +12,59 @@
 )
 
 // watch is a connection on which a discovery server sends events. It is read without blocking, with the client's lock
-// held.
+// held. The goroutine that opened it waits for input and closes the connection; others only mark the watch as ended.
 type watch struct {
-	conn         net.Conn
-	raw          syscall.RawConn
-	partialLine  []byte // start of a line whose end has not arrived
-	address      string
-	subscribedAt time.Time
-	answered     bool      // a line was read
-	lastLine     time.Time // when the last line was read, or the subscription was sent
-	skippingLine bool      // discard input up to the end of a line that is too long
-	completeAsOf time.Time // when the last read began that consumed everything received
-	endErr       error     // why the watch ended; nil while it is read
+	address  string
+	openedAt time.Time
+	// superseded is set once the server has moved to another address: this watch is read until another one is up to date.
+	superseded bool
+	endErr     error           // why the watch ended; nil while it is open
+	context    context.Context // ends with the watch
+	cancel     context.CancelFunc
+
+	conn              net.Conn // nil until the connection is established
+	raw               syscall.RawConn
+	subscription      *Subscription
+	subscribedAt      time.Time
+	lastReceived      time.Time // when a line was last read; zero: none yet
+	completeAsOf      time.Time // when the last read began that consumed everything received
+	partialLine       []byte    // start of a line whose end has not arrived
+	skippingLine      bool      // discard input up to the end of a line that is too long
+	overdue           bool      // another watch was opened because the next line did not arrive in time
+	missingEventKnown bool      // the client has acted on a missing event
+}
+
+// phase is how far a watch has got.
+type phase uint8
+
+// Phases of a watch.
+const (
+	dialing   phase = iota
+	waiting         // subscribed, and not answered
+	receiving       // the server has answered
+	unusable        // ended, superseded, overdue, or an event is missing
+)
+
+func (w *watch) phase() phase {
+	switch {
+	case w.endErr != nil || w.superseded:
+		return unusable
+	case w.conn == nil:
+		return dialing
+	case w.overdue || w.subscription.Missing():
+		return unusable
+	case w.lastReceived.IsZero():
+		return waiting
+	}
+	return receiving
 }
 
+// answered reports whether the server has sent anything.
+func (w *watch) answered() bool { return !w.lastReceived.IsZero() }
+
+// withinLine reports whether the end of a line has not arrived.
+func (w *watch) withinLine() bool { return len(w.partialLine) > 0 || w.skippingLine }
+
 const (
 	// maxLine fits an event with a few thousand servers; a longer line is not accepted as an event.
 	maxLine = 4 << 20
@@ -33,6 +73,8 @@
 	// maxReadPerCall bounds how much one call reads, so that a server that writes without end does not block a step of
 	// the event loop for long.
 	maxReadPerCall = maxLine
+	// subscribeTimeout is how long the few bytes of a subscription may take to fit into the send buffer of a new connection.
+	subscribeTimeout = 500 * time.Millisecond
 )
 
 // maxInterruptions bounds the immediate retries of a read that was interrupted by a signal (EINTR). At most a few
@@ -47,36 +89,40 @@
 	errEventMissing   = errors.New("an event is missing")
 	errSilent         = errors.New("no message within the timeout")
 	errAddressChanged = errors.New("address changed")
+	errReplaced       = errors.New("replaced by another watch")
 )
 
 // lineHandler handles the lines that a watch reads.
 type lineHandler interface {
-	handleLine(line []byte) error
-	handleLongLine() (skip bool)
+	handleLine(w *watch, line []byte) error
 }
 
-// newWatch subscribes to all events after a revision on a new connection to address.
-func newWatch(conn net.Conn, address string, revision uint64) (*watch, error) {
+// subscribe subscribes on a new connection to all events after the state's revision.
+func (w *watch) subscribe(conn net.Conn, state *State) error {
 	tcp, ok := conn.(syscall.Conn)
 	if !ok {
-		return nil, fmt.Errorf("discovery: %T does not support non-blocking reads", conn)
+		return fmt.Errorf("discovery: %T does not support non-blocking reads", conn)
 	}
 	raw, err := tcp.SyscallConn()
 	if err != nil {
-		return nil, err
+		return err
 	}
-	conn.SetWriteDeadline(time.Now().Add(dialTimeout))
-	if _, err := fmt.Fprintf(conn, "watch %d\n", revision); err != nil {
-		return nil, err
+	conn.SetWriteDeadline(time.Now().Add(subscribeTimeout))
+	if _, err := fmt.Fprintf(conn, "watch %d\n", state.Revision()); err != nil {
+		return err
 	}
 	now := time.Now()
-	return &watch{conn: conn, raw: raw, address: address, subscribedAt: now, lastLine: now, completeAsOf: now}, nil
+	w.conn, w.raw, w.subscription = conn, raw, state.Subscribe()
+	w.subscribedAt, w.completeAsOf = now, now
+	return nil
 }
 
 // readAll reads everything that has arrived, up to maxReadPerCall, and passes each complete line to the handler. It
-// reads the file descriptor directly: with conn.Read, a deadline that passed while the process was stalled would hide
-// input that has already arrived.
+// reads the file descriptor directly, so that input is read whatever deadline has passed.
 func (w *watch) readAll(handler lineHandler) error {
+	if w.conn == nil {
+		return w.endErr
+	}
 	var err error
 	if e := w.raw.Control(func(fd uintptr) { err = w.readAvailable(fd, handler) }); e != nil {
 		err = e
@@ -89,7 +135,11 @@
 func (w *watch) markEnded(err error) error {
 	if w.endErr == nil && err != nil {
 		w.endErr = err
-		w.conn.SetReadDeadline(time.Now()) // wake the goroutine that waits for input
+		if w.conn == nil {
+			w.cancel()
+		} else {
+			w.conn.SetReadDeadline(time.Now()) // wake the goroutine that waits for input
+		}
 	}
 	return w.endErr
 }
@@ -117,16 +167,16 @@
 			return io.EOF // an incomplete line is discarded
 		}
 		total += n
-		if err := w.handleLines(buf[:n], handler); err != nil {
+		if err := w.handleInput(buf[:n], handler); err != nil {
 			return err
 		}
 	}
 	return nil
 }
 
-// handleLines passes each line that the new data completes to the handler.
-func (w *watch) handleLines(data []byte, handler lineHandler) error {
-	w.partialLine = append(w.partialLine, data...)
+// handleInput passes each line that the new input completes to the handler.
+func (w *watch) handleInput(input []byte, handler lineHandler) error {
+	w.partialLine = append(w.partialLine, input...)
 	for {
 		end := bytes.IndexByte(w.partialLine, '\n')
 		if end < 0 {
@@ -134,12 +184,12 @@
 		}
 		line := w.partialLine[:end]
 		w.partialLine = w.partialLine[end+1:]
-		w.lastLine, w.answered = time.Now(), true
+		w.lastReceived, w.overdue = time.Now(), false
 		if w.skippingLine {
 			w.skippingLine = false
 			continue
 		}
-		if err := handler.handleLine(line); err != nil {
+		if err := handler.handleLine(w, line); err != nil {
 			return err
 		}
 	}
@@ -149,7 +199,7 @@
 	if len(w.partialLine) <= maxLine {
 		return nil
 	}
-	if !handler.handleLongLine() {
+	if !w.subscription.HandleLongLine() {
 		return errLineTooLong
 	}
 	w.skippingLine, w.partialLine = true, nil
--- a/internal/discovery/watcherror.go
+++ b/internal/discovery/watcherror.go
@@ -5,12 +5,12 @@
 	"time"
 )
 
-// WatchError reports that a watch has ended. It tells a server that never answered from one that fell silent.
+// WatchError reports that a watch has ended, or receives nothing. It tells a server that never answered from one that fell silent.
 type WatchError struct {
 	Address  string
 	Answered bool          // the server has sent at least one line
 	Age      time.Duration // since the subscription
-	Err      error         // why the watch ended
+	Err      error         // why the watch ended, or why another is opened beside it
 }
 
 // Error implements error.
@@ -19,16 +19,16 @@
 	if e.Answered {
 		answer = "answered"
 	}
-	return fmt.Sprintf("watch at %s ended after %v, %s: %v", e.Address, e.Age.Round(time.Millisecond), answer, e.Err)
+	return fmt.Sprintf("watch at %s, %v old, %s: %v", e.Address, e.Age.Round(time.Millisecond), answer, e.Err)
 }
 
-// Unwrap returns why the watch ended.
+// Unwrap returns Err.
 func (e *WatchError) Unwrap() error { return e.Err }
 
-// describeEnd adds to err what is known about the watch that it ended. w is nil if the server could not be reached.
-func describeEnd(w *watch, err error) error {
-	if w == nil {
+// describe adds to err what is known about the watch that it concerns.
+func (w *watch) describe(now time.Time, err error) error {
+	if w.conn == nil {
 		return err
 	}
-	return &WatchError{Address: w.address, Answered: w.answered, Age: time.Since(w.subscribedAt), Err: err}
+	return &WatchError{Address: w.address, Answered: w.answered(), Age: now.Sub(w.subscribedAt), Err: err}
 }
--- a/internal/platform/endpoints_test.go
+++ b/internal/platform/endpoints_test.go
@@ -133,7 +133,7 @@
 				e.Update.Endpoints = append(e.Update.Endpoints, discovery.EndpointMessage{UID: uid(), Address: fmt.Sprintf("127.0.0.%d:80", rapid.IntRange(1, 3).Draw(rt, "address")),
 					State: rapid.SampledFrom([]string{"ready", "ready", "draining", "gone"}).Draw(rt, "state"), StartedAtMS: int64(rapid.IntRange(0, 1).Draw(rt, "boot"))})
 			}
-			if _, err := s.Apply(e); err != nil {
+			if _, err := s.Subscribe().Apply(e); err != nil {
 				rt.Fatal(err)
 			}
 			routers[0].handleUpdate(now, s.Update())
--- a/internal/platform/fleetsize_test.go
+++ b/internal/platform/fleetsize_test.go
@@ -42,7 +42,7 @@
 // handleEvent makes the router handle an event in one step, one millisecond after the previous one.
 func (f *fleetRouter) handleEvent(b testing.TB, update *discovery.UpdateMessage) {
 	f.revision++
-	effect, err := f.discoveryState.HandleLine(platformtest.EncodeEvent(discovery.Event{Revision: f.revision, Update: update}))
+	effect, err := f.discoveryState.Subscribe().HandleLine(platformtest.EncodeEvent(discovery.Event{Revision: f.revision, Update: update}))
 	if err != nil || effect != discovery.EndpointsChanged {
 		b.Fatal(effect, err)
 	}
--- a/internal/platform/router.go
+++ b/internal/platform/router.go
@@ -76,10 +76,10 @@
 const (
 	// minSockets is the smallest socket limit with which a router can serve.
 	minSockets = 128
-	// reservedSockets is the number of descriptors reserved for the standard streams, the poller, the listener, two
-	// connections of the discovery client, the configuration file, and the accepts and dials that may run ahead of
-	// the counters.
-	reservedSockets = 40
+	// reservedSockets is the number of descriptors reserved for the connections of the discovery client, the standard
+	// streams, the poller, the listener, the configuration file, and the accepts and dials that may run ahead of the
+	// counters.
+	reservedSockets = discovery.MaxWatches + 38
 )
 
 // New returns a router for a configuration, with its listener open. It fails if the recorded endpoint history is
