Discovery: a connection may take up to 3 s to come up, others are tried beside it

What callers saw: nothing yet; found by asking in which other ways discovery answers slowly. A server whose connections take longer than 0.5 s to come up (a full accept queue, a lost SYN that is sent again after 1 s) was never reached: the dial timeout left no time for it, and each dial began anew.

--- a/internal/discovery/client.go
+++ b/internal/discovery/client.go
@@ -55,8 +55,8 @@
 const (
 	// MaxWatches bounds the connections that a client has at the same time, those being established included.
 	MaxWatches = 3
-	// dialTimeout is several round trips, and well within the 2 s allowed for reconnecting after a break.
-	dialTimeout = 500 * time.Millisecond
+	// dialTimeout is how long a connection may take to come up.
+	dialTimeout = 3 * time.Second
 )
 
 // SetAddress switches the client to another address. A watch at the old one is read until one at the new one is up to date.
--- a/internal/discovery/slowserver_test.go
+++ b/internal/discovery/slowserver_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"net"
 	"sync"
@@ -200,3 +201,57 @@
 		t.Errorf("subscribed %d times in %v", n, duration)
 	}
 }
+
+// Guards against a server that is never reached because its connections take longer than the dial timeout to come up.
+func TestLateConnectionIsAwaited(t *testing.T) {
+	for _, delay := range []time.Duration{700 * time.Millisecond, time.Second, 2500 * time.Millisecond} {
+		t.Run(fmt.Sprint(delay), func(t *testing.T) {
+			t.Parallel()
+			server := newSlowServer(t, func(c net.Conn, _ int) { sendDrain(c) })
+			lists := make(chan []fleet.Endpoint, 8)
+			client := NewClient(State{}, server.address(), testGrace, 1, sendLists(lists), func(string, error) {})
+			client.dial = func(ctx context.Context, network, address string) (net.Conn, error) {
+				select {
+				case <-time.After(delay):
+					return new(net.Dialer).DialContext(ctx, network, address)
+				case <-ctx.Done():
+					return nil, ctx.Err()
+				}
+			}
+			runClient(t, client)
+			awaitDrain(t, lists, delay+lateness)
+		})
+	}
+}
+
+// Guards against a connection that never comes up and delays the next one by the whole dial timeout, and against waiting
+// for one to an address that is no longer configured.
+func TestHangingConnectionDelaysNoOther(t *testing.T) {
+	for _, moved := range []bool{false, true} {
+		t.Run(fmt.Sprint("moved=", moved), func(t *testing.T) {
+			t.Parallel()
+			server := newSlowServer(t, func(c net.Conn, _ int) { sendDrain(c) })
+			lists := make(chan []fleet.Endpoint, 8)
+			client := NewClient(State{}, "127.0.0.1:1", testGrace, 1, sendLists(lists), func(string, error) {})
+			dials := make(chan struct{}, 8)
+			client.dial = func(ctx context.Context, network, address string) (net.Conn, error) {
+				dials <- struct{}{}
+				if len(dials) == 1 {
+					<-ctx.Done()
+					return nil, ctx.Err()
+				}
+				return new(net.Dialer).DialContext(ctx, network, server.address())
+			}
+			runClient(t, client)
+			limit := 1250*time.Millisecond + lateness
+			if moved {
+				for len(dials) == 0 {
+					time.Sleep(time.Millisecond)
+				}
+				client.SetAddress(server.address())
+				limit = lateness
+			}
+			awaitDrain(t, lists, limit)
+		})
+	}
+}
