Discovery: an event may take longer than the silence timeout to arrive

Change: whatever arrives is a sign of life; a line that takes longer than 6 s has another watch beside it.

--- a/internal/discovery/schedule.go
+++ b/internal/discovery/schedule.go
@@ -21,6 +21,8 @@
 	// maxAnswerTimeout with each watch that is opened in vain.
 	answerTimeout    = 1500 * time.Millisecond
 	maxAnswerTimeout = 4 * answerTimeout
+	// lineTimeout is how long one line may take to arrive before another watch is opened beside the one that receives it.
+	lineTimeout = 6 * time.Second
 	// redialInterval is the time after which another connection is opened beside one that has not come up: the system
 	// sends again what was lost on the way of a connection no sooner than after 1 s.
 	redialInterval = time.Second
@@ -76,7 +78,11 @@
 	case waiting:
 		return w.subscribedAt.Add(s.answerTimeout())
 	case receiving:
-		return w.lastReceived.Add(s.silenceTimeout(now))
+		until := w.lastReceived.Add(s.silenceTimeout(now))
+		if end := w.lineBegan.Add(lineTimeout); w.withinLine() && end.Before(until) {
+			return end
+		}
+		return until
 	}
 	return time.Time{}
 }
--- a/internal/discovery/slowserver_test.go
+++ b/internal/discovery/slowserver_test.go
@@ -255,3 +255,22 @@
 		})
 	}
 }
+
+// Guards against an event that is never read because it takes longer than the silence timeout to arrive.
+func TestSlowlyArrivingEventIsRead(t *testing.T) {
+	t.Parallel()
+	const pieces, interval = 8, 500 * time.Millisecond
+	server := newSlowServer(t, func(c net.Conn, _ int) {
+		text := readyEvent + drainEvent
+		for i := range pieces {
+			fmt.Fprint(c, text[i*len(text)/pieces:(i+1)*len(text)/pieces])
+			time.Sleep(interval)
+		}
+		sendHeartbeats(c, 2, time.Second)
+	})
+	_, lists := startClient(t, server.address())
+	awaitDrain(t, lists, pieces*interval+lateness)
+	if n := server.subscriptions(); n != 1 {
+		t.Errorf("subscribed %d times", n)
+	}
+}
--- a/internal/discovery/watch.go
+++ b/internal/discovery/watch.go
@@ -26,9 +26,10 @@
 	raw               syscall.RawConn
 	subscription      *Subscription
 	subscribedAt      time.Time
-	lastReceived      time.Time // when a line was last read; zero: none yet
+	lastReceived      time.Time // when input was last read; zero: none yet
 	completeAsOf      time.Time // when the last read began that consumed everything received
 	partialLine       []byte    // start of a line whose end has not arrived
+	lineBegan         time.Time // when the start of that line was read
 	skippingLine      bool      // discard input up to the end of a line that is too long
 	overdue           bool      // another watch was opened because the next line did not arrive in time
 	missingEventKnown bool      // the client has acted on a missing event
@@ -176,6 +177,13 @@
 
 // handleInput passes each line that the new input completes to the handler.
 func (w *watch) handleInput(input []byte, handler lineHandler) error {
+	w.lastReceived = time.Now()
+	if !w.withinLine() {
+		w.lineBegan = w.lastReceived
+	}
+	if w.lastReceived.Before(w.lineBegan.Add(lineTimeout)) {
+		w.overdue = false
+	}
 	w.partialLine = append(w.partialLine, input...)
 	for {
 		end := bytes.IndexByte(w.partialLine, '\n')
@@ -183,8 +191,7 @@
 			break
 		}
 		line := w.partialLine[:end]
-		w.partialLine = w.partialLine[end+1:]
-		w.lastReceived, w.overdue = time.Now(), false
+		w.partialLine, w.lineBegan, w.overdue = w.partialLine[end+1:], w.lastReceived, false
 		if w.skippingLine {
 			w.skippingLine = false
 			continue
