Discovery: a server that breaks off each watch gets rest after one grace period

What callers saw: nothing yet; found by asking what a whole fleet's retries do to a crowded server.

Cause: a watch that ended before it was up to date was followed by the next within an eighth to a quarter of the grace period, and each such end began that time anew.

Change: the quick retries are for one grace period after the first such end; then the backoff goes on up to 1 s, until a watch has been up to date.

--- a/internal/discovery/schedule.go
+++ b/internal/discovery/schedule.go
@@ -44,7 +44,8 @@
 	unanswered   int       // watches opened because an earlier one waited for its answer for too long
 	silences     int       // watches opened because an earlier one received nothing, each within silenceMemory of the one before
 	silentAt     time.Time // when the last of them was opened
-	fastRetryEnd time.Time // until when delays are shortened because a watch ended before it was up to date
+	interrupted  bool      // a watch has ended before it was up to date, and none has been up to date since
+	fastRetryEnd time.Time // until when delays are shortened after such an interruption
 }
 
 func newSchedule(seed uint64, grace time.Duration) *schedule {
@@ -126,19 +127,20 @@
 }
 
 // upToDate records that a watch is up to date.
-func (s *schedule) upToDate() { s.unanswered = 0 }
+func (s *schedule) upToDate() { s.unanswered, s.interrupted = 0, false }
 
 // failed records that a watch has ended or can no longer be used. useful tells whether it had been of use until then, and
 // interrupted whether it had subscribed and was not up to date.
 //
 // The events that an interrupted watch should have received count as received at the time of the subscription, so their
-// grace period is already running, and the next subscription follows quickly.
+// grace period is already running, and the next subscription follows quickly. This holds for one grace period: a crowded
+// server may break off each watch, and would get no rest from a fleet that goes on at this pace.
 func (s *schedule) failed(now time.Time, useful, interrupted bool) {
 	if useful {
 		s.backoff.Reset()
 	}
-	if interrupted {
-		s.fastRetryEnd = now.Add(s.grace)
+	if interrupted && !s.interrupted {
+		s.interrupted, s.fastRetryEnd = true, now.Add(s.grace)
 	}
 	s.retryAt = now.Add(s.backoff.NextWithin(s.limitDelay(now, maxBackoff)))
 }
@@ -156,5 +158,5 @@
 func (s *schedule) reset() {
 	s.backoff.Reset()
 	s.retryAt, s.silentAt, s.fastRetryEnd = time.Time{}, time.Time{}, time.Time{}
-	s.unanswered, s.silences = 0, 0
+	s.unanswered, s.silences, s.interrupted = 0, 0, false
 }
--- a/internal/discovery/slowserver_test.go
+++ b/internal/discovery/slowserver_test.go
@@ -274,3 +274,19 @@
 		t.Errorf("subscribed %d times", n)
 	}
 }
+
+// Guards against a fleet that goes on subscribing every few milliseconds at a crowded server that breaks off each watch
+// before it has answered.
+func TestServerThatBreaksOffUnansweredWatchesGetsRest(t *testing.T) {
+	t.Parallel()
+	const (
+		duration = 6 * time.Second
+		limit    = 20 // 8 within the first grace period, then about one each 0.75 s; without rest there are 60 and more
+	)
+	server := newSlowServer(t, func(net.Conn, int) {})
+	startClient(t, server.address())
+	time.Sleep(duration)
+	if n := server.subscriptions(); n > limit {
+		t.Errorf("subscribed %d times in %v", n, duration)
+	}
+}
