Discovery: a start waits up to 4 s for the list to be confirmed

What callers saw: nothing yet; found by asking in which other moments of a router's life discovery can be slow.

Cause: a router was ready a quarter of the grace period (0.125 s) after its subscription, or at the first event of several. At a crowded server it served by the list of its configuration until the answer came: requests went to a server that had drained since that was written.

Change: ready once a heartbeat has confirmed that nothing is missing, at the latest 4 s after the start, when every event counts as received; at once, as before, if the server can't be reached. A start may take up to a second longer with a server that sends its first heartbeat late.

TestStartedAfterFirstAnswer now asks for more: not started before the answer, nor after its event without the heartbeat, started after the heartbeat.

--- a/cmd/hollymast/drain_test.go
+++ b/cmd/hollymast/drain_test.go
@@ -288,3 +288,21 @@
 		t.Errorf("%d frames after the grace period, the last one %s", len(late), late[len(late)-1])
 	}
 }
+
+// TestDrainBeforeStartWithSlowDiscovery guards against a router that serves by the list of its configuration because discovery takes
+// longer than a quarter of the grace period for its first answer: a server has drained since the configuration was written.
+func TestDrainBeforeStartWithSlowDiscovery(t *testing.T) {
+	t.Parallel()
+	const functions = 12
+	servers := newTwoServers(t)
+	discoveryServer := slowDiscovery(t, 2*time.Second, append(servers.events, servers.drainEvent())...)
+	router := startRouter(t, platformtest.Deployment{Grace: gracePeriod}.Configuration(discoveryServer.Address(), servers.events...))
+	client := router.waitReady()
+	callEach(client, 1, firstFunctionKey, functions)
+	if served := countServed(client, functions); served != functions {
+		t.Errorf("%d of %d requests were served", served, functions)
+	}
+	if n := len(servers.draining.Received()); n > 0 {
+		t.Errorf("%d frames were sent to a server that drained before the start", n)
+	}
+}
--- a/internal/discovery/client.go
+++ b/internal/discovery/client.go
@@ -57,6 +57,9 @@
 	MaxWatches = 3
 	// dialTimeout is how long a connection may take to come up.
 	dialTimeout = 3 * time.Second
+	// startTimeout is how long the start waits for the server to confirm that no event is missing. After that time every
+	// event counts as received, so a longer wait would keep no rule better.
+	startTimeout = 4 * time.Second
 )
 
 // SetAddress switches the client to another address. A watch at the old one is read until one at the new one is up to date.
@@ -160,8 +163,8 @@
 	return c.subscriptions
 }
 
-// Started returns a channel that is closed when waiting for the first endpoint list is over: the server has answered,
-// has not answered in time, or can't be reached.
+// Started returns a channel that is closed when waiting for the first endpoint list is over: the server has confirmed that
+// no event is missing, has not done so within startTimeout, or can't be reached.
 func (c *Client) Started() <-chan struct{} { return c.started }
 
 func (c *Client) markStarted() { c.startOnce.Do(func() { close(c.started) }) }
@@ -170,6 +173,8 @@
 func (c *Client) Run(ctx context.Context) {
 	defer c.goroutines.Wait()
 	defer c.close()
+	startTimer := time.AfterFunc(startTimeout, c.markStarted)
+	defer startTimer.Stop()
 	for ctx.Err() == nil {
 		select {
 		case <-time.After(c.openIfDue(ctx)):
@@ -288,9 +293,6 @@
 		w.markEnded(w.context.Err())
 	})
 	defer unblock()
-	// A server without new events sends nothing until its next heartbeat.
-	answerTime := time.AfterFunc(c.schedule.grace/4, c.markStarted)
-	defer answerTime.Stop()
 	for {
 		err := w.wait(func(fd uintptr) error { return c.readReady(w, fd) })
 		if errors.Is(err, os.ErrDeadlineExceeded) {
@@ -329,7 +331,6 @@
 	if err != nil {
 		return err
 	}
-	c.markStarted()
 	switch {
 	case effect == EndpointsChanged:
 		c.onUpdate(c.state.Update())
@@ -339,6 +340,7 @@
 	}
 	if w.phase() == receiving && w.subscription.UpToDate() {
 		w.missingEventKnown = false
+		c.markStarted()
 		c.schedule.upToDate()
 		c.endAllExcept(w, errReplaced)
 	}
@@ -375,7 +377,9 @@
 	if stopped || w.superseded || errors.Is(end, errReplaced) {
 		return nil
 	}
-	c.markStarted()
+	if w.conn == nil && len(c.openWatches()) == 0 {
+		c.markStarted() // the server can't be reached
+	}
 	c.failed(w)
 	return w.describe(time.Now(), end)
 }
--- a/internal/discovery/client_test.go
+++ b/internal/discovery/client_test.go
@@ -198,22 +198,30 @@
 	receive(t, "the start", c.Started())
 }
 
-// Started is signalled once the server's answer to the first subscription was applied.
+// Started is signalled once the server's answer to the first subscription was applied and confirmed by a heartbeat. Until
+// then more of the answer may follow.
 func TestStartedAfterFirstAnswer(t *testing.T) {
 	address, conns, subscriptions := startServer(t)
 	client := newManualClient(address)
-	client.schedule.grace = time.Hour
 	w, c := client.subscribe(t, conns, subscriptions)
-	select {
-	case <-client.Started():
-		t.Fatal("started before the answer")
-	default:
+	mustNotBeStarted := func(when string) {
+		t.Helper()
+		select {
+		case <-client.Started():
+			t.Fatalf("started %s", when)
+		default:
+		}
 	}
+	mustNotBeStarted("before the answer")
 	fmt.Fprintln(c, fullEvent(1, "a", "10.0.0.1:1", "ready"))
 	w.awaitInput(t)
 	client.CatchUp()
-	receive(t, "the start", client.Started())
 	receive(t, "the list", client.lists)
+	mustNotBeStarted("before the heartbeat")
+	fmt.Fprintln(c, 1)
+	w.awaitInput(t)
+	client.CatchUp()
+	receive(t, "the start", client.Started())
 }
 
 // A line that is too long ends the connection. If it is sent again, it is skipped and the drain after it is applied.
--- a/internal/discovery/slowserver_test.go
+++ b/internal/discovery/slowserver_test.go
@@ -202,6 +202,25 @@
 	}
 }
 
+// Guards against an event that is never read because it takes longer than the silence timeout to arrive.
+func TestSlowlyArrivingEventIsRead(t *testing.T) {
+	t.Parallel()
+	const pieces, interval = 8, 500 * time.Millisecond
+	server := newSlowServer(t, func(c net.Conn, _ int) {
+		text := readyEvent + drainEvent
+		for i := range pieces {
+			fmt.Fprint(c, text[i*len(text)/pieces:(i+1)*len(text)/pieces])
+			time.Sleep(interval)
+		}
+		sendHeartbeats(c, 2, time.Second)
+	})
+	_, lists := startClient(t, server.address())
+	awaitDrain(t, lists, pieces*interval+lateness)
+	if n := server.subscriptions(); n != 1 {
+		t.Errorf("subscribed %d times", n)
+	}
+}
+
 // Guards against a server that is never reached because its connections take longer than the dial timeout to come up.
 func TestLateConnectionIsAwaited(t *testing.T) {
 	for _, delay := range []time.Duration{700 * time.Millisecond, time.Second, 2500 * time.Millisecond} {
@@ -256,25 +275,6 @@
 	}
 }
 
-// Guards against an event that is never read because it takes longer than the silence timeout to arrive.
-func TestSlowlyArrivingEventIsRead(t *testing.T) {
-	t.Parallel()
-	const pieces, interval = 8, 500 * time.Millisecond
-	server := newSlowServer(t, func(c net.Conn, _ int) {
-		text := readyEvent + drainEvent
-		for i := range pieces {
-			fmt.Fprint(c, text[i*len(text)/pieces:(i+1)*len(text)/pieces])
-			time.Sleep(interval)
-		}
-		sendHeartbeats(c, 2, time.Second)
-	})
-	_, lists := startClient(t, server.address())
-	awaitDrain(t, lists, pieces*interval+lateness)
-	if n := server.subscriptions(); n != 1 {
-		t.Errorf("subscribed %d times", n)
-	}
-}
-
 // Guards against a fleet that goes on subscribing every few milliseconds at a crowded server that breaks off each watch
 // before it has answered.
 func TestServerThatBreaksOffUnansweredWatchesGetsRest(t *testing.T) {
@@ -290,3 +290,44 @@
 		t.Errorf("subscribed %d times in %v", n, duration)
 	}
 }
+
+// Guards against a router that starts to serve by an old list because the server's answer takes longer than a quarter of the
+// grace period, or comes in parts.
+func TestStartAwaitsLateAnswer(t *testing.T) {
+	for _, c := range []struct {
+		name          string
+		before, after time.Duration // delays before and after the first event
+	}{
+		{"late", 2 * time.Second, 0}, {"in parts", 0, 2 * time.Second}, {"both", time.Second, time.Second},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			server := newSlowServer(t, func(conn net.Conn, _ int) {
+				time.Sleep(c.before)
+				fmt.Fprint(conn, readyEvent)
+				time.Sleep(c.after)
+				fmt.Fprint(conn, drainEvent)
+				sendHeartbeats(conn, 2, time.Second)
+			})
+			client, lists := startClient(t, server.address())
+			began := time.Now()
+			receive(t, "the start", client.Started())
+			if client.Revision() != 2 {
+				t.Errorf("started after %v at revision %d", time.Since(began), client.Revision())
+			}
+			awaitDrain(t, lists, lateness)
+		})
+	}
+}
+
+// Started does not wait for ever for a server that accepts connections and never answers.
+func TestStartIsBoundedWithoutAnswer(t *testing.T) {
+	t.Parallel()
+	server := newSlowServer(t, func(net.Conn, int) { time.Sleep(time.Minute) })
+	client, _ := startClient(t, server.address())
+	select {
+	case <-client.Started():
+	case <-time.After(4*time.Second + lateness):
+		t.Error("not started")
+	}
+}
