Soak: in one run of three discovery answers each subscription late

The delay (0.2 to 2 s) is drawn from a stream of its own: the rest of each seed's scenario is as before.

--- a/internal/soak/discovery.go
+++ b/internal/soak/discovery.go
@@ -20,6 +20,8 @@
 	address  string
 	events   []discovery.Event
 	watchers map[net.Conn]bool // value: whether the watch has been silenced
+	// answerDelay is how long each watch waits for its first line, as from a crowded service.
+	answerDelay time.Duration
 	// unreachableUntil is the time until which routers may be unable to receive events: before it, no event counts as announced.
 	unreachableUntil time.Time
 	goroutines       sync.WaitGroup
@@ -27,7 +29,8 @@
 }
 
 // How long routers may be unable to receive events, as allowed by the platform's specification. An event published in that time
-// counts as announced only at its end. The time after a resume is longer than any router waits before it reconnects.
+// counts as announced only at its end. The time after a resume is longer than any router waits before it reconnects; the answer
+// delay comes on top of it.
 const (
 	unreachableAfterSilence = 4 * time.Second
 	unreachableAfterMove    = 4 * time.Second
@@ -35,8 +38,8 @@
 	unreachableWhileDown    = time.Hour
 )
 
-func newDiscoveryService() (*discoveryService, error) {
-	d := &discoveryService{watchers: map[net.Conn]bool{}, done: make(chan struct{})}
+func newDiscoveryService(answerDelay time.Duration) (*discoveryService, error) {
+	d := &discoveryService{answerDelay: answerDelay, watchers: map[net.Conn]bool{}, done: make(chan struct{})}
 	return d, d.listen("127.0.0.1:0")
 }
 
@@ -134,6 +137,11 @@
 	}
 	var revision uint64
 	fmt.Sscanf(line, "watch %d", &revision)
+	select {
+	case <-time.After(d.answerDelay):
+	case <-d.done:
+		return
+	}
 	d.mu.Lock()
 	for _, event := range d.events[min(int(revision), len(d.events)):] {
 		conn.Write(platformtest.EncodeEvent(event))
@@ -190,7 +198,7 @@
 	err := d.listen(address)
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.unreachableUntil = time.Now().Add(unreachableAfterResume)
+	d.unreachableUntil = time.Now().Add(unreachableAfterResume + d.answerDelay)
 	return err
 }
 
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -119,7 +119,7 @@
 // execute starts servers, routers and clients, injects the faults, and stops everything.
 func (r *run) execute(ctx context.Context) error {
 	var err error
-	if r.discovery, err = newDiscoveryService(); err != nil {
+	if r.discovery, err = newDiscoveryService(r.scenario.DiscoveryAnswerDelay); err != nil {
 		return err
 	}
 	defer r.goroutines.Wait()
--- a/internal/soak/scenario.go
+++ b/internal/soak/scenario.go
@@ -45,6 +45,8 @@
 	DropsExpired       bool          // servers drop expired requests without a response
 	ServerIdleTimeout  time.Duration // after which servers close idle connections
 
+	DiscoveryAnswerDelay time.Duration // how long discovery takes to answer a subscription
+
 	MalformedClients bool // open connections by the hundred that send nothing or unparseable data
 	Faults           []Fault
 }
@@ -169,9 +171,15 @@
 	if random.IntN(5) == 0 { // overload
 		s.TargetUtilization = uniform(random, 0.8, 1.2)
 	}
+	if random := newRandom(seed, "discovery"); random.IntN(3) == 0 { // crowded discovery
+		s.DiscoveryAnswerDelay = uniformDuration(random, 200*time.Millisecond, maxDiscoveryAnswerDelay)
+	}
 	return s
 }
 
+// maxDiscoveryAnswerDelay leaves half of the 4 s after which every event counts as announced to notice that a watch is silent.
+const maxDiscoveryAnswerDelay = 2 * time.Second
+
 // drawClasses draws two or three classes of different semantics.
 func drawClasses(random *rand.Rand, mean time.Duration) []Class {
 	var classes []Class
