Discovery: a heartbeat in the form {"rev":N} is a heartbeat, not an empty event

A heartbeat that runs ahead of its event, as from a crowded server, was taken for that event: the revision moved on and the event itself, a drain perhaps, was ignored as old.

Cause: a line that begins with a brace was always an event.

Change: an object with no other key than its revision is a heartbeat. Events that don't concern the list have more keys and are applied as before.

Tests: TestHeartbeatObjectIsNoEvent and two rows of TestHandleLine fail before and pass now.

--- a/internal/discovery/state_test.go
+++ b/internal/discovery/state_test.go
@@ -46,6 +46,9 @@
 		{"event after a gap", fullEvent(5, "c", "10.0.0.3:1", "ready"), Resubscribe, false, 1},
 		{"heartbeat with the current revision", "3", None, false, 1},
 		{"heartbeat with a later revision", "4", Resubscribe, false, 1},
+		{"heartbeat object with the current revision", `{"rev":3}`, None, false, 1},
+		{"heartbeat object with a later revision", `{"rev":4}`, Resubscribe, false, 1},
+		{"event that does not concern the list", `{"rev":4,"pool":null}`, None, false, 1},
 		{"not a number", "x3", None, true, 1},
 		{"truncated event", event(4, "b", "10.0.0.2:1", "ready")[:80], None, true, 1},
 		{"unknown state", fullEvent(4, "b", "10.0.0.2:1", "asleep"), None, true, 1},
@@ -337,6 +340,22 @@
 	}
 }
 
+// Guards against an event that is lost because a heartbeat in the form of an object was taken for it: the heartbeat ran ahead
+// of the event. Such a heartbeat confirms a complete list like one in the form of a number.
+func TestHeartbeatObjectIsNoEvent(t *testing.T) {
+	s, subscription := newState(t)
+	if subscription.HandleLine([]byte(`{"rev":1}`)); !subscription.UpToDate() {
+		t.Error("not up to date after the heartbeat")
+	}
+	if effect, err := subscription.HandleLine([]byte(`{"rev":2}`)); effect != Resubscribe || err != nil || s.Revision() != 1 || subscription.UpToDate() {
+		t.Errorf("a heartbeat ahead of its event gave %v, %v at revision %d", effect, err, s.Revision())
+	}
+	effect, err := subscription.HandleLine([]byte(event(2, "a", "10.0.0.1:1", "draining")))
+	if list := s.Endpoints(); err != nil || effect != EndpointsChanged || list[0].State != control.Draining {
+		t.Errorf("the event gave %v, %v, %v", effect, err, list)
+	}
+}
+
 // An update contains only the servers that an event changed, or all servers if the event requires the full list.
 func TestUpdate(t *testing.T) {
 	ready := func(uid, endpoint string) EndpointMessage {
--- a/internal/discovery/subscription.go
+++ b/internal/discovery/subscription.go
@@ -32,7 +32,8 @@
 // already unusable when it was last sent: the caller must then skip the line and handle the lines after it.
 func (s *Subscription) HandleLongLine() (skip bool) { return s.state.recordRetry() }
 
-// HandleLine handles an event, a heartbeat (the revision of the server's last event) or an empty line. An error means
+// HandleLine handles an event, a heartbeat (the revision of the server's last event alone, as a number or as {"rev":N}) or an
+// empty line. An error means
 // that the line is unusable: nothing of it was applied, and the caller must subscribe again to all events after
 // Revision. A line that is unusable again after that is skipped, so that the lines after it are read.
 func (s *Subscription) HandleLine(line []byte) (Effect, error) {
@@ -41,20 +42,31 @@
 		return None, nil
 	}
 	if line[0] != '{' {
-		return s.handleHeartbeat(line)
+		last, err := strconv.ParseUint(string(line), 10, 64)
+		if err != nil {
+			return s.state.errorOnce(fmt.Errorf("discovery: heartbeat %q is not a number", line[:min(len(line), 40)]))
+		}
+		return s.handleHeartbeat(last)
 	}
 	var e Event
 	if err := json.Unmarshal(line, &e); err != nil {
 		return s.state.errorOnce(fmt.Errorf("discovery: %w", err))
 	}
+	if e.Update == nil && hasOneKey(line) {
+		return s.handleHeartbeat(e.Revision)
+	}
 	return s.Apply(e)
 }
 
-func (s *Subscription) handleHeartbeat(line []byte) (Effect, error) {
-	last, err := strconv.ParseUint(string(line), 10, 64)
-	if err != nil {
-		return s.state.errorOnce(fmt.Errorf("discovery: heartbeat %q is not a number", line[:min(len(line), 40)]))
-	}
+// hasOneKey reports whether a JSON object has a single key. An event that does not concern the endpoint list has more than
+// its revision.
+func hasOneKey(object []byte) bool {
+	var values map[string]json.RawMessage
+	return json.Unmarshal(object, &values) == nil && len(values) == 1
+}
+
+// handleHeartbeat handles the revision of the server's last event.
+func (s *Subscription) handleHeartbeat(last uint64) (Effect, error) {
 	switch {
 	case last > s.state.revision:
 		return s.eventMissing()
