Platform: requests that come while the router waits for discovery are answered

Cause: the event loop did not run before discovery had answered. With a server that needs 2 s for an answer a request waited 2 s.

--- a/internal/platform/requestlog.go
+++ b/internal/platform/requestlog.go
@@ -47,6 +47,7 @@
 
 // The reasons of this package for ending a request, in addition to those of the balancer.
 const (
+	reasonStarting     control.Reason = "the router waits for discovery"
 	reasonStopping     control.Reason = "the router is stopping"
 	reasonDuplicate    control.Reason = "its id is in flight already"
 	reasonNotAccepted  control.Reason = "the core did not accept it"
--- a/internal/platform/requests.go
+++ b/internal/platform/requests.go
@@ -29,7 +29,7 @@
 // the router and the response's way back. Each takes a millisecond or two, and several milliseconds on a shared core.
 const networkDelay = 10_000
 
-// handleRequest passes a request to the core, unless its client has abandoned it or the router is stopping.
+// handleRequest passes a request to the core, unless its client has abandoned it or the router is starting or stopping.
 func (r *Router) handleRequest(now control.Micros, req *request) {
 	if req.client.hasAbandoned(req) {
 		return // abandoned before this step
@@ -39,6 +39,10 @@
 		r.finish(req, msgrpc.EncodeRejection(req.number, r.config.Deployment.MaxRetryAfter))
 		return
 	}
+	if r.startup.pending {
+		r.holdEarlyRequest(req)
+		return
+	}
 	if r.requests[req.id] != nil {
 		r.countBadMessage(&msgrpc.MessageError{Number: req.number, Text: "ref: open already"})
 		if other := r.requests[req.id]; other.client == req.client && !other.answer.Decided { // responses would be ambiguous
--- a/internal/platform/router.go
+++ b/internal/platform/router.go
@@ -44,6 +44,7 @@
 	removedPools    map[control.ServerID]*serverPool // pools of removed servers that still have connections
 	lastPrunedAt    control.Micros
 	stopRequestedAt control.Micros // 0: not stopping
+	startup         startup
 	endpointLog     endpointLog
 	slowStarts      map[control.ServerID]*slowStart // servers in slow start that have been sent requests
 	random          *rand.PCG                       // for the ids of load commands; no decision depends on it
@@ -156,13 +157,6 @@
 		r.accept(r.listener)
 	})
 	defer r.listener.Close()
-	// The endpoints in the configuration may be older than the grace period, so no request is sent before discovery
-	// has answered.
-	select {
-	case <-r.discovery.Started():
-	case <-ctx.Done():
-	}
-	r.ready.Store(true)
 	r.runEventLoop(ctx.Done())
 	r.logState()
 	r.log.Info().Msg("no request is in flight any more")
@@ -171,6 +165,8 @@
 
 // runEventLoop runs the event loop until the router has been asked to stop and every client connection has ended.
 func (r *Router) runEventLoop(stopRequested <-chan struct{}) {
+	r.startup.pending = true
+	started, rejectEarly := r.discovery.Started(), time.After(duration(r.earlyRequestsHeldFor()))
 	acceptEnded, shuttingDown := r.acceptEnded, false
 	var nextAction <-chan time.Time
 	var actions []stopAction
@@ -183,6 +179,11 @@
 		case <-stateTicker.C:
 			r.logState()
 			continue
+		case <-started:
+			started = nil
+			r.loop.Post(r.endStartup) // after the endpoint updates that discovery has posted
+		case <-rejectEarly:
+			r.rejectEarlyRequests()
 		case <-stopRequested:
 			stopRequested = nil
 			actions = r.beginStop()
