Discovery: a start does not wait for the heartbeat behind an answer that came at once

Change: ready also once a watch has received nothing more for a quarter of the grace period and twice the time that the server took to begin.

What this gives up: a server that answers at once and pauses within its answer.

--- a/internal/discovery/client.go
+++ b/internal/discovery/client.go
@@ -164,11 +164,31 @@
 }
 
 // Started returns a channel that is closed when waiting for the first endpoint list is over: the server has confirmed that
-// no event is missing, has not done so within startTimeout, or can't be reached.
+// no event is missing, has sent events and then nothing more for a while, has not done so within startTimeout, or can't be
+// reached.
 func (c *Client) Started() <-chan struct{} { return c.started }
 
 func (c *Client) markStarted() { c.startOnce.Do(func() { close(c.started) }) }
 
+// awaitQuiet ends the wait for the first endpoint list once a watch has received nothing more for a while after an event. Some
+// servers send no heartbeat behind their answer, but up to a second later. A server that took long to begin its answer may
+// take about as long between its parts. The caller holds the lock.
+func (c *Client) awaitQuiet(w *watch) {
+	select {
+	case <-c.started:
+		return
+	default:
+	}
+	received := w.lastReceived
+	time.AfterFunc(max(c.schedule.grace/4, 2*w.answerDelay), func() {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		if w.phase() == receiving && !w.withinLine() && w.lastReceived.Equal(received) {
+			c.markStarted()
+		}
+	})
+}
+
 // Run keeps the state in sync until the context ends. It must be called only once.
 func (c *Client) Run(ctx context.Context) {
 	defer c.goroutines.Wait()
@@ -338,6 +358,7 @@
 		w.missingEventKnown = true
 		c.failed(w)
 	}
+	c.awaitQuiet(w)
 	if w.phase() == receiving && w.subscription.UpToDate() {
 		w.missingEventKnown = false
 		c.markStarted()
--- a/internal/discovery/client_test.go
+++ b/internal/discovery/client_test.go
@@ -203,6 +203,7 @@
 func TestStartedAfterFirstAnswer(t *testing.T) {
 	address, conns, subscriptions := startServer(t)
 	client := newManualClient(address)
+	client.schedule.grace = time.Hour
 	w, c := client.subscribe(t, conns, subscriptions)
 	mustNotBeStarted := func(when string) {
 		t.Helper()
--- a/internal/discovery/watch.go
+++ b/internal/discovery/watch.go
@@ -26,13 +26,14 @@
 	raw               syscall.RawConn
 	subscription      *Subscription
 	subscribedAt      time.Time
-	lastReceived      time.Time // when input was last read; zero: none yet
-	completeAsOf      time.Time // when the last read began that consumed everything received
-	partialLine       []byte    // start of a line whose end has not arrived
-	lineBegan         time.Time // when the start of that line was read
-	skippingLine      bool      // discard input up to the end of a line that is too long
-	overdue           bool      // another watch was opened because the next line did not arrive in time
-	missingEventKnown bool      // the client has acted on a missing event
+	answerDelay       time.Duration // from the subscription to the first input
+	lastReceived      time.Time     // when input was last read; zero: none yet
+	completeAsOf      time.Time     // when the last read began that consumed everything received
+	partialLine       []byte        // start of a line whose end has not arrived
+	lineBegan         time.Time     // when the start of that line was read
+	skippingLine      bool          // discard input up to the end of a line that is too long
+	overdue           bool          // another watch was opened because the next line did not arrive in time
+	missingEventKnown bool          // the client has acted on a missing event
 }
 
 // phase is how far a watch has got.
@@ -177,7 +178,11 @@
 
 // handleInput passes each line that the new input completes to the handler.
 func (w *watch) handleInput(input []byte, handler lineHandler) error {
-	w.lastReceived = time.Now()
+	now := time.Now()
+	if !w.answered() {
+		w.answerDelay = now.Sub(w.subscribedAt)
+	}
+	w.lastReceived = now
 	if !w.withinLine() {
 		w.lineBegan = w.lastReceived
 	}
