Discovery: the list of watches in a file of its own, with tests of its bounds

What concerns all watches at once (which one to end, which one is the last source after a move) is now watchlist.go. A watch that misses an event is named in the log when another is opened beside it; errEventMissing had lost its use.

--- a/internal/discovery/client.go
+++ b/internal/discovery/client.go
@@ -5,7 +5,6 @@
 	"errors"
 	"net"
 	"os"
-	"slices"
 	"sync"
 	"time"
 
@@ -29,7 +28,7 @@
 	address  string
 	state    State
 	schedule *schedule
-	watches  []*watch // in the order in which they were opened
+	watches  watchList
 	// completeAsOf is the latest time at which the state is known to contain everything that the server had sent.
 	completeAsOf  time.Time
 	subscriptions int // sent so far
@@ -71,34 +70,11 @@
 	}
 	c.readAll()
 	c.address = address
-	for _, w := range c.watches {
-		w.superseded = true
-	}
-	c.endAllExcept(lastSource(c.openWatches()), errAddressChanged)
+	c.watches.supersede()
 	c.schedule.reset()
 	c.wakeRun()
 }
 
-// lastSource returns the watch from which events are the most likely to come after the server has moved: the latest that
-// was answered, else the latest that has subscribed; nil if there is none.
-func lastSource(watches []*watch) (last *watch) {
-	for _, w := range watches {
-		if w.answered() || w.conn != nil && (last == nil || !last.answered()) {
-			last = w
-		}
-	}
-	return last
-}
-
-// endAllExcept ends all watches but one. The caller holds the lock.
-func (c *Client) endAllExcept(kept *watch, err error) {
-	for _, w := range c.watches {
-		if w != kept {
-			w.markEnded(err)
-		}
-	}
-}
-
 // wakeRun makes Run check whether another watch is needed.
 func (c *Client) wakeRun() {
 	select {
@@ -206,9 +182,9 @@
 
 // openIfDue opens another watch if one is due, and returns how long to wait until the next check.
 func (c *Client) openIfDue(ctx context.Context) (wait time.Duration) {
-	opened, late, wait := c.addIfDue(ctx)
+	opened, wait, late := c.addIfDue(ctx)
 	if late != nil {
-		c.reportError("discovery is slow: opening another watch", late)
+		c.reportError("opening another watch at discovery", late)
 	}
 	if opened != nil {
 		c.goroutines.Go(func() { c.runWatch(opened) })
@@ -217,29 +193,31 @@
 }
 
 // addIfDue adds another watch if one is due. late describes the watch that should have received something by now, if any.
-func (c *Client) addIfDue(ctx context.Context) (added *watch, late error, wait time.Duration) {
+func (c *Client) addIfDue(ctx context.Context) (added *watch, wait time.Duration, late error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if wait := time.Until(c.schedule.nextOpening(time.Now(), c.watches)); wait > 0 {
-		return nil, nil, wait
+		return nil, wait, nil
 	}
 	c.readAll() // what arrived during a stall of this process
 	now := time.Now()
 	if wait := c.schedule.nextOpening(now, c.watches).Sub(now); wait > 0 {
-		return nil, nil, wait
+		return nil, wait, nil
 	}
 	if w := c.schedule.opened(now, c.watches); w != nil {
 		late = w.describe(now, errSilent)
+	} else if w := c.watches.open().missingEvent(); w != nil {
+		late = w.describe(now, errEventMissing)
 	}
 	added = c.addWatch(ctx, now)
-	return added, late, c.schedule.nextOpening(now, c.watches).Sub(now)
+	return added, c.schedule.nextOpening(now, c.watches).Sub(now), late
 }
 
 // addWatch adds a watch that is to be established. It ends another one if there would be too many. The caller holds the
 // lock.
 func (c *Client) addWatch(ctx context.Context, now time.Time) *watch {
-	if open := c.openWatches(); len(open) >= MaxWatches {
-		leastPromising(open).markEnded(errReplaced)
+	if open := c.watches.open(); len(open) >= MaxWatches {
+		open.leastPromising().markEnded(errReplaced)
 	}
 	w := &watch{address: c.address, openedAt: now}
 	w.context, w.cancel = context.WithCancel(ctx)
@@ -247,32 +225,6 @@
 	return w
 }
 
-// openWatches returns the watches that have not ended. The caller holds the lock.
-func (c *Client) openWatches() (open []*watch) {
-	for _, w := range c.watches {
-		if w.endErr == nil {
-			open = append(open, w)
-		}
-	}
-	return open
-}
-
-// leastPromising returns the watch that is the least likely to be answered next: one that misses an event, else the
-// youngest, since a crowded server answers in the order of the subscriptions, but rather one without a connection.
-func leastPromising(watches []*watch) *watch {
-	for _, w := range watches {
-		if w.subscription != nil && w.subscription.Missing() {
-			return w
-		}
-	}
-	for _, w := range slices.Backward(watches) {
-		if w.phase() == dialing {
-			return w
-		}
-	}
-	return watches[len(watches)-1]
-}
-
 // runWatch establishes a watch and reads it until it ends.
 func (c *Client) runWatch(w *watch) {
 	err := c.establish(w)
@@ -363,7 +315,7 @@
 		w.missingEventKnown = false
 		c.markStarted()
 		c.schedule.upToDate()
-		c.endAllExcept(w, errReplaced)
+		c.watches.endAllExcept(w, errReplaced)
 	}
 	return nil
 }
@@ -394,11 +346,11 @@
 	if w.conn != nil {
 		w.conn.Close()
 	}
-	c.watches = slices.DeleteFunc(c.watches, func(other *watch) bool { return other == w })
+	c.watches = c.watches.without(w)
 	if stopped || w.superseded || errors.Is(end, errReplaced) {
 		return nil
 	}
-	if w.conn == nil && len(c.openWatches()) == 0 {
+	if w.conn == nil && len(c.watches.open()) == 0 {
 		c.markStarted() // the server can't be reached
 	}
 	c.failed(w)
@@ -409,5 +361,5 @@
 func (c *Client) close() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.endAllExcept(nil, net.ErrClosed)
+	c.watches.endAllExcept(nil, net.ErrClosed)
 }
--- a/internal/discovery/slowserver_test.go
+++ b/internal/discovery/slowserver_test.go
@@ -4,8 +4,10 @@
 	"bufio"
 	"context"
 	"fmt"
+	"io"
 	"net"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -183,6 +185,59 @@
 	}
 }
 
+// Guards against giving up the watch whose turn at a crowded server comes first, and against connections without bound.
+func TestOldestWatchIsKept(t *testing.T) {
+	t.Parallel()
+	const answeredAfter = 6 * time.Second
+	var open atomic.Int32
+	server := newSlowServer(t, func(c net.Conn, nth int) {
+		open.Add(1)
+		defer open.Add(-1)
+		if nth == 1 {
+			time.Sleep(answeredAfter)
+			sendDrain(c)
+		}
+		io.Copy(io.Discard, c)
+	})
+	_, lists := startClient(t, server.address())
+	for end := time.Now().Add(answeredAfter - lateness); time.Now().Before(end); time.Sleep(lateness / 4) {
+		if open.Load() <= MaxWatches {
+			continue
+		}
+		time.Sleep(lateness / 4) // a watch that was replaced is closed at the same time as another is opened
+		if n := open.Load(); n > MaxWatches {
+			t.Errorf("%d watches are open", n)
+		}
+	}
+	awaitDrain(t, lists, 3*lateness)
+}
+
+// Guards against moves in quick succession of which the last is never followed, because the watches at the addresses between
+// are awaited.
+func TestMovesInQuickSuccessionAreFollowed(t *testing.T) {
+	t.Parallel()
+	const delay = 2 * time.Second
+	first := newSlowServer(t, func(c net.Conn, _ int) {
+		fmt.Fprint(c, readyEvent)
+		sendHeartbeats(c, 1, time.Second)
+	})
+	client, lists := startClient(t, first.address())
+	receive(t, "the first list", lists)
+	for range 3 {
+		client.SetAddress(newSlowServer(t, func(c net.Conn, _ int) { io.Copy(io.Discard, c) }).address())
+		time.Sleep(200 * time.Millisecond)
+	}
+	last := newSlowServer(t, func(c net.Conn, _ int) {
+		time.Sleep(delay)
+		sendDrain(c)
+	})
+	client.SetAddress(last.address())
+	awaitDrain(t, lists, delay+lateness)
+	if n := last.subscriptions(); n > 2 {
+		t.Errorf("subscribed %d times", n)
+	}
+}
+
 // Guards against watches that are given up and requested again each time that a crowded server's heartbeat is late.
 func TestLateHeartbeatsAreTolerated(t *testing.T) {
 	t.Parallel()
