--- a/internal/platform/drain_test.go
+++ b/internal/platform/drain_test.go
@@ -106,7 +106,7 @@
 
 // A router that starts with an outdated configuration makes no choices before discovery has answered.
 func TestStartWithOutdatedConfig(t *testing.T) {
-	const grace = 2 * time.Second // discovery has a quarter of it to answer
+	const grace = 2 * time.Second // early requests are held for half of it
 	draining, ready := platformtest.NewModelServer(t), platformtest.NewModelServer(t)
 	known := []discovery.Event{platformtest.Event(1, "s-0", draining.Address(), "ready")}
 	answer := make(chan bool)
