TestOldestWatchIsKept runs until a fourth watch is opened: before, it could not fail

Cause: within 6 s a client opens three watches, so none had to go, and neither what the test says of the oldest nor its bound was ever tried. With the oldest ended in place of the youngest, or without the bound, it passed.

Change: the answer comes after 14 s; a fourth watch is due after 10.5 to 12.25 s. What the test asserts is unchanged. With either mutation it fails now. Mutations of the redial interval, of what a move ends and of the start's limit fail TestHangingConnectionDelaysNoOther, TestMovesInQuickSuccessionAreFollowed and TestStartIsBoundedWithoutAnswer, as they should.

--- a/internal/discovery/slowserver_test.go
+++ b/internal/discovery/slowserver_test.go
@@ -188,7 +188,7 @@
 // Guards against giving up the watch whose turn at a crowded server comes first, and against connections without bound.
 func TestOldestWatchIsKept(t *testing.T) {
 	t.Parallel()
-	const answeredAfter = 6 * time.Second
+	const answeredAfter = 14 * time.Second // a fourth watch, for which another one has to go, is opened after 10.5 to 12.25 s
 	var open atomic.Int32
 	server := newSlowServer(t, func(c net.Conn, nth int) {
 		open.Add(1)
