Review case 6: after a kill a gateway pushes back run-once calls that may have run

Cause: admission control in a storm of retries, like every rejection of rejectionFor, comes before the marks of a repeat's earlier attempts are looked at.

Change: claim and script of case 6, the earlier one is kept as a trial; the report follows.

--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -11,12 +11,13 @@
 
 // cases are the cases by name; each reports whether the rule held.
 var cases = map[string]func(*scene) bool{
-	"stopping":  stopping,     // review/6
+	"afterkill": afterKill,    // review/6
 	"second":    secondAnswer, // review/7
 	"sametwice": sameTwice,    // review/8
 	"pushback":  pushback,     // review/9
 	"moved":     moved,        // review/10
 	// Trials that are no cases; review/REPORT-2.md says why.
+	"stopping":      stopping,
 	"crowd":         crowd,
 	"manyfunctions": manyFunctions,
 }
--- a/review/standin2/stopping.go
+++ b/review/standin2/stopping.go
@@ -37,28 +37,7 @@
 	return fmt.Sprintf("%d %s", a.status, a.text)
 }
 
-// order sends a run-once call with its key, and gives the try up after a while.
-func (s *scene) order(pool *http.Client, router, key string, try int, patience time.Duration) (a answer) {
-	ctx, cancel := context.WithTimeout(context.Background(), patience)
-	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, "POST", "http://"+router+"/v2/models/order-1/infer", strings.NewReader(`{"inputs":[]}`))
-	check(err)
-	req.Header.Set("Idempotency-Key", key)
-	req.Header.Set("X-Envoy-Attempt-Count", fmt.Sprint(try))
-	// A request that can't be sent again by itself: the transport must not repeat it.
-	req.GetBody = nil
-	resp, err := pool.Do(req)
-	if err != nil {
-		return answer{err: err}
-	}
-	defer resp.Body.Close()
-	body, _ := io.ReadAll(resp.Body)
-	a.status, a.text = resp.StatusCode, string(body)
-	json.Unmarshal(body, &a)
-	return a
-}
-
-// stopping: a run-once call has run at a worker that answers slowly, and its client has given the try up. The client asks the same router
+// stopping: a trial, no case. A run-once call has run at a worker that answers slowly, and its client has given the try up. The client asks the same router
 // again, with the key. The router, which is being restarted as planned, pushes the call back, which says that trying again is harmless. So the
 // client goes to another router, where the call runs a second time.
 func stopping(s *scene) bool {
@@ -86,7 +65,7 @@
 	done := make(chan answer, 2)
 	for i := range 2 {
 		go func() {
-			done <- s.order(pool, routers[0].listen, fmt.Sprintf("order-key-warm-%d", i), 1, 5*time.Second)
+			done <- s.call(pool, routers[0].listen, "order-1", fmt.Sprintf("order-key-warm-%d", i), 1, 5*time.Second)
 		}()
 	}
 	for range 2 {
@@ -94,7 +73,7 @@
 	}
 	const key, patience = "order-key-1", 4 * time.Second // half of the time limit
 	s.note("try 1, at router 0")
-	a := s.order(pool, routers[0].listen, key, 1, patience)
+	a := s.call(pool, routers[0].listen, "order-1", key, 1, patience)
 	s.note("try 1: %v", a)
 	if s.trouble {
 		check(routers[0].cmd.Process.Signal(syscall.SIGTERM))
@@ -102,12 +81,12 @@
 	}
 	time.Sleep(100 * time.Millisecond)
 	s.note("try 2, with the key, at router 0")
-	a = s.order(pool, routers[0].listen, key, 2, patience)
+	a = s.call(pool, routers[0].listen, "order-1", key, 2, patience)
 	s.note("try 2: %v", a)
 	if a.err == nil && a.status == 503 && a.Answer == "pushed back" { // a retry does no harm, says the router
 		time.Sleep(time.Duration(a.Pause) * time.Microsecond)
 		s.note("try 3, with the key, at router 1")
-		a = s.order(pool, routers[1].listen, key, 3, 3*time.Second)
+		a = s.call(pool, routers[1].listen, "order-1", key, 3, 3*time.Second)
 		s.note("try 3: %v", a)
 	}
 	time.Sleep(time.Second)
@@ -115,3 +94,23 @@
 	s.note("%s ran %d times: %s", key, len(runs), times(runs))
 	return len(runs) < 2
 }
+
+// call sends a call with its key, and gives the try up after a while.
+func (s *scene) call(pool *http.Client, router, model, key string, try int, patience time.Duration) (a answer) {
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, "POST", "http://"+router+"/v2/models/"+model+"/infer", strings.NewReader(`{"inputs":[]}`))
+	check(err)
+	req.Header.Set("Idempotency-Key", key)
+	req.Header.Set("X-Envoy-Attempt-Count", fmt.Sprint(try))
+	req.GetBody = nil // the transport must not send it again by itself
+	resp, err := pool.Do(req)
+	if err != nil {
+		return answer{err: err}
+	}
+	defer resp.Body.Close()
+	body, _ := io.ReadAll(resp.Body)
+	a.status, a.text = resp.StatusCode, string(body)
+	json.Unmarshal(body, &a)
+	return a
+}
