Platform log: delays within the process, memory, functions, and messages by kind

Change: the state line has `delays`, `memory`, `functions`, `messages` and `busiest_client`; a response that is later than its client's deadline is an anomaly. Ends, retries and closes were counted by reason before, requests are logged with their ids at debug.

Result: TestEndsAreLogged and TestPeaks read the new fields; go test of platform, eventqueue, eventloop, core and control passes.

--- a/control/diagnostics.go
+++ b/control/diagnostics.go
@@ -20,14 +20,15 @@
 	return SlowStartStatus{s.StartedAt, b.capacity(now, s), b.slowStartBudget(now, s), len(sent)}, true
 }
 
-// Throughput holds the estimates from which the slow-start budget is computed.
+// Throughput holds the estimates from which the slow-start budget is computed, and the number of known functions.
 type Throughput struct {
 	AnswerRate float64 // answers per second that this router gets from a server at full capacity
 	Ready      int     // ready servers
 	SlowStart  int     // those of them that are in slow start
+	Functions  int     // functions of which anything is known
 }
 
 // Throughput returns the current estimates.
 func (b *Balancer) Throughput() Throughput {
-	return Throughput{b.answerRate, len(b.index.ready), len(b.index.slowStart.servers)}
+	return Throughput{b.answerRate, len(b.index.ready), len(b.index.slowStart.servers), len(b.functions)}
 }
--- a/internal/eventloop/loop.go
+++ b/internal/eventloop/loop.go
@@ -96,6 +96,9 @@
 // WriteDeadline returns the latest time at which writing an attempt that is chosen in this step may begin.
 func (l *Loop) WriteDeadline() control.Micros { return attempt.WriteDeadline(l.EndpointsAsOf, l.grace) }
 
+// TakeQueuePeaks returns the longest queue and the longest wait in it since the previous call. Any goroutine may call it.
+func (l *Loop) TakeQueuePeaks() eventqueue.Peaks { return l.queue.TakePeaks() }
+
 // Drain returns the queued events, endpoint updates first. They are valid until the next call.
 func (l *Loop) Drain() []func(control.Micros) {
 	l.batch = l.queue.Drain(l.batch)
--- a/internal/eventqueue/queue.go
+++ b/internal/eventqueue/queue.go
@@ -3,6 +3,7 @@
 
 import (
 	"sync"
+	"time"
 
 	"hollymast/control"
 )
@@ -14,6 +15,14 @@
 	endpoints []func(now control.Micros)
 	events    []func(now control.Micros)
 	ready     chan struct{}
+	oldestAt  time.Time // when the first of the queued functions was posted
+	peaks     Peaks
+}
+
+// Peaks are the largest values since they were last taken.
+type Peaks struct {
+	Length int           // functions handled in one step
+	Wait   time.Duration // from posting a function to the step that handles it
 }
 
 // New returns an empty queue.
@@ -31,6 +40,9 @@
 	q.mu.Lock()
 	*list = append(*list, f)
 	first := len(q.endpoints)+len(q.events) == 1
+	if first {
+		q.oldestAt = time.Now()
+	}
 	q.mu.Unlock()
 	if first {
 		select {
@@ -50,8 +62,21 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	batch := append(append(previous[:0], q.endpoints...), q.events...)
+	if len(batch) > 0 {
+		q.peaks.Length = max(q.peaks.Length, len(batch))
+		q.peaks.Wait = max(q.peaks.Wait, time.Since(q.oldestAt))
+	}
 	clear(q.endpoints)
 	clear(q.events)
 	q.endpoints, q.events = q.endpoints[:0], q.events[:0]
 	return batch
 }
+
+// TakePeaks returns the peaks since the previous call.
+func (q *Queue) TakePeaks() Peaks {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	peaks := q.peaks
+	q.peaks = Peaks{}
+	return peaks
+}
--- a/internal/eventqueue/queue_test.go
+++ b/internal/eventqueue/queue_test.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"hollymast/control"
 )
@@ -54,3 +56,23 @@
 		t.Errorf("%d left", len(rest))
 	}
 }
+
+// The peaks are the longest batch and the longest wait of an event, and start anew once they have been taken.
+func TestPeaks(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		q := New()
+		q.Post(func(control.Micros) {})
+		time.Sleep(time.Second)
+		q.PostEndpoints(func(control.Micros) {})
+		time.Sleep(time.Second)
+		batch := q.Drain(nil)
+		q.Post(func(control.Micros) {})
+		q.Drain(batch)
+		if got, want := q.TakePeaks(), (Peaks{Length: 2, Wait: 2 * time.Second}); got != want {
+			t.Errorf("got %+v, want %+v", got, want)
+		}
+		if got := q.TakePeaks(); got != (Peaks{}) {
+			t.Errorf("got %+v after the peaks were taken", got)
+		}
+	})
+}
--- a/internal/platform/anomalies.go
+++ b/internal/platform/anomalies.go
@@ -14,6 +14,7 @@
 	requestEndedByShutdown
 	requestArrivedEarlier
 	processStalled
+	responseLate
 	noServerConnection
 	outOfDescriptors
 	temporaryDialFailure
@@ -32,6 +33,7 @@
 	requestEndedByShutdown: "request ended by the shutdown",
 	requestArrivedEarlier:  "request may have arrived long before it was read",
 	processStalled:         "the process was stalled",
+	responseLate:           "response later than its client's deadline",
 	noServerConnection:     "no connection to a server",
 	outOfDescriptors:       "out of descriptors for a server",
 	temporaryDialFailure:   "temporary dial failure",
--- a/internal/platform/clientconn.go
+++ b/internal/platform/clientconn.go
@@ -38,8 +38,10 @@
 	closed            chan struct{}              // closed once the descriptor has been freed
 	draining          atomic.Bool                // everything is written; input is read and discarded
 	closeNowCalled    atomic.Bool
-	closeNowRequested chan struct{} // closed to end draining early
-	closeReason       atomic.Uint32 // a clientClose
+	closeNowRequested chan struct{}  // closed to end draining early
+	closeReason       atomic.Uint32  // a clientClose
+	messageCount      int64          // messages since messagesSince; reader only
+	messagesSince     control.Micros // reader only
 }
 
 // hasAbandoned reports whether the client has stopped waiting for the response to a request.
@@ -84,6 +86,7 @@
 		switch {
 		case errors.As(err, &fault):
 			c.router.countBadMessage(fault)
+			c.countMessage(messageBad)
 			if fault.Answerable {
 				c.post(msgrpc.EncodeInvalid(fault.Number, fault.Text))
 			}
@@ -124,10 +127,13 @@
 	defer c.router.recoverPanic(panicReadingClient)
 	switch m.Kind {
 	case msgrpc.HealthCheck:
+		c.countMessage(messageHealthCheck)
 		c.handleHealthCheck(m.Number)
 	case msgrpc.Cancel:
+		c.countMessage(messageCancellation)
 		c.handleCancellation(m.Number)
 	case msgrpc.Call:
+		c.countMessage(messageRequest)
 		c.unanswered = true
 		c.handleCall(m)
 	}
@@ -323,6 +329,7 @@
 		c.idleSince.Store(int64(c.router.loop.Now()))
 	}
 	if open {
+		c.router.recordLateResponse(req)
 		c.post(data)
 		c.wakeReader()
 	}
--- a/internal/platform/logging.go
+++ b/internal/platform/logging.go
@@ -24,8 +24,8 @@
 func (r *Router) countBadMessage(f *msgrpc.MessageError) { r.anomalies.addDetail(badMessage, f.Text) }
 
 // logState logs the state line: connections, requests, the age of the confirmed endpoint list, the estimates behind the
-// slow-start budget, and, counted since the start, subscriptions to discovery, and since the previous line, how attempts and requests ended, the causes of retries, why connections closed, and the
-// anomalies.
+// slow-start budget, the memory in use, counted since the start, subscriptions to discovery, and since the previous line, the longest delays within the process, what clients sent, how attempts
+// and requests ended, the causes of retries, why connections closed, and the anomalies.
 func (r *Router) logState() {
 	r.mu.Lock()
 	clients := len(r.clients)
@@ -37,6 +37,8 @@
 		Int("subscriptions", r.discovery.Subscriptions()).Int64("list_confirmed_ms_ago", r.sinceListConfirmed().Milliseconds()).
 		Int64("oldest_list_us", r.oldestEndpoints.take()).Int64("after_drain_us", r.afterDrain.take()).
 		Int("ready", throughput.Ready).Int("slow_start", throughput.SlowStart).Float64("answer_rate", throughput.AnswerRate).
+		Dict("delays", r.delays()).Dict("memory", memoryUse()).Int("functions", throughput.Functions).
+		Str("messages", r.messages.take()).Int64("busiest_client", r.busiestClient.take()).
 		Str("attempts", r.attemptEnds.take()).Str("retries", r.retries.take()).Str("ended", r.requestEnds.take()).
 		Str("client_closes", r.clientCloses.take()).Str("server_closes", r.serverCloses.take()).
 		Str("anomalies", r.anomalies.take()).Msg("state")
--- a/internal/platform/logging_test.go
+++ b/internal/platform/logging_test.go
@@ -57,11 +57,21 @@
 		t.Fatalf("no state line: %s", log)
 	}
 	last := state[len(state)-1]
-	for field, want := range map[string]string{"attempts": "succeeded: 1", "ended": "served: a server answered: 1", "client_closes": "client, shutdown: 1"} {
+	for field, want := range map[string]string{"attempts": "succeeded: 1", "ended": "served: a server answered: 1", "client_closes": "client, shutdown: 1",
+		"messages": "requests: 1"} {
 		if last[field] != want {
 			t.Errorf("%s: %v, want %q", field, last[field], want)
 		}
 	}
+	delays, memory := last["delays"].(map[string]any), last["memory"].(map[string]any)
+	for _, name := range []string{"event_wait_us", "events", "step_us", "scheduling_us", "response_wait_us", "late_response_us"} {
+		if value, ok := delays[name].(float64); !ok || value < 0 {
+			t.Errorf("delays: %s is %v", name, delays[name])
+		}
+	}
+	if delays["events"] == 0.0 || memory["heap_bytes"] == 0.0 || last["functions"] != 1.0 || last["busiest_client"] != 1.0 {
+		t.Errorf("delays %v, memory %v, functions %v, busiest client %v", delays, memory, last["functions"], last["busiest_client"])
+	}
 	ended := logLines(t, log, "request ended")
 	if len(ended) != 1 || ended[0]["id"] != fmt.Sprintf("%016x", uint64(id)) || ended[0]["end"] != "served" || ended[0]["reason"] != string(reasonServerAnswer) {
 		t.Errorf("got %v", ended)
--- a/internal/platform/router.go
+++ b/internal/platform/router.go
@@ -70,6 +70,9 @@
 	oldestEndpoints peak // age of the endpoint list at the first byte of an attempt
 	afterDrain      peak // upper bound on how long after its server drained or was removed a first byte was written
 	acceptBusy      peak // longest time that the accept loop spent on one connection before it accepted the next
+	delayPeaks      delayPeaks
+	messages        counter[messageKind]
+	busiestClient   peak // most messages from one connection within busiestClientInterval
 
 	maxClients, maxServerConns int
 }
@@ -254,6 +257,7 @@
 	r.loop.Step(now, events, r.fleet, r.core)
 	r.logEndpoints(now)
 	r.prune(now)
+	r.delayPeaks.step.record(int64(r.loop.Now() - now))
 }
 
 // recoverPanic, when deferred, logs a panic with its stack and lets the process continue, so that a fault on one
--- a/internal/platform/stalls.go
+++ b/internal/platform/stalls.go
@@ -53,6 +53,7 @@
 
 // detectStalls ticks the stall detector until ctx ends.
 func (r *Router) detectStalls(ctx context.Context) {
+	lastTick := time.Now()
 	r.stalls.tick(r.loop.Now())
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
@@ -61,6 +62,9 @@
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
+			now := time.Now()
+			r.delayPeaks.scheduling.record((now.Sub(lastTick) - tickInterval).Microseconds())
+			lastTick = now
 			r.stalls.tick(r.loop.Now())
 		}
 	}
--- a/internal/platform/writequeue.go
+++ b/internal/platform/writequeue.go
@@ -25,6 +25,7 @@
 	closed         bool
 	// firstWrite writes the first bytes of a frame that has checkAndWrite; nil means the system call.
 	firstWrite func(fd int, b []byte) (int, error)
+	waited     *peak // longest time from post to write, in microseconds; nil: not recorded
 	// written, if not nil, is closed when nothing more will be written. In that case only the write direction of the
 	// connection is closed after the last frame, and the goroutine that reads closes the connection.
 	written chan struct{}
@@ -39,6 +40,7 @@
 	// frame would be outdated if it were encoded before a dial or a wait for room.
 	encode        func() []byte
 	size          int // upper bound on the size of encode's result
+	queuedAt      time.Time
 	checkAndWrite func(write func() bool) (withdrawn bool)
 	writeEnded    func(whole bool)
 }
@@ -59,7 +61,7 @@
 	if q.closed || q.closing {
 		return false
 	}
-	frame.size = max(frame.size, len(frame.data))
+	frame.size, frame.queuedAt = max(frame.size, len(frame.data)), time.Now()
 	if q.queuedBytes+frame.size > q.maxQueuedBytes {
 		q.closeLocked()
 		return false
@@ -161,6 +163,9 @@
 		}
 		q.queuedBytes -= frame.size
 		q.mu.Unlock()
+		if q.waited != nil {
+			q.waited.record(time.Since(frame.queuedAt).Microseconds())
+		}
 		q.conn.SetWriteDeadline(time.Now().Add(writeTimeout))
 		n, err := 0, error(nil)
 		if frame.checkAndWrite != nil {
