--- a/cmd/hollymast/crowd_test.go
+++ b/cmd/hollymast/crowd_test.go
@@ -10,6 +10,7 @@
 	"os/exec"
 	"path/filepath"
 	"slices"
+	"strconv"
 	"sync"
 	"syscall"
 	"testing"
@@ -120,16 +121,17 @@
 	crowdAddressEnv  = "HOLLYMAST_TEST_CROWD_ADDRESS"
 	crowdBehaviorEnv = "HOLLYMAST_TEST_CROWD_BEHAVIOR"
 	crowdTimeoutEnv  = "HOLLYMAST_TEST_CROWD_TIMEOUT"
+	crowdSizeEnv     = "HOLLYMAST_TEST_CROWD_SIZE"
 )
 
 // crowdSize is the number of clients of a crowd. The router has connections for 128.
 const crowdSize = 400
 
 // runCrowd runs clients with one behavior, which connect again as soon as their connection ends, until the process is killed.
-func runCrowd(address string, behavior crowdBehavior, timeout time.Duration) {
+func runCrowd(address string, behavior crowdBehavior, timeout time.Duration, size int) {
 	const dialTimeout = 2 * time.Second
 	var clients sync.WaitGroup
-	for range crowdSize {
+	for range size {
 		clients.Go(func() {
 			for ; ; time.Sleep(behavior.reconnectAfter) {
 				if conn, err := net.DialTimeout("tcp", address, dialTimeout); err == nil {
@@ -150,16 +152,32 @@
 	}
 	timeout, err := time.ParseDuration(os.Getenv(crowdTimeoutEnv))
 	if err != nil {
-		panic(err) // only startCrowd sets it
+		panic(err) // only startClients sets it
 	}
-	runCrowd(address, crowdBehaviors[os.Getenv(crowdBehaviorEnv)], timeout)
+	size, err := strconv.Atoi(os.Getenv(crowdSizeEnv))
+	if err != nil {
+		panic(err)
+	}
+	name := os.Getenv(crowdBehaviorEnv)
+	behavior, ok := crowdBehaviors[name]
+	if !ok {
+		behavior = floodBehaviors[name]
+	}
+	runCrowd(address, behavior, timeout, size)
 }
 
 // startCrowd starts a crowd in a process of its own, which ends when end is called.
 func startCrowd(t *testing.T, address, behavior string, timeout time.Duration) (end func()) {
+	t.Helper()
+	return startClients(t, address, behavior, timeout, crowdSize)
+}
+
+// startClients starts a number of clients with one behavior in a process of their own, which ends when end is called.
+func startClients(t *testing.T, address, behavior string, timeout time.Duration, size int) (end func()) {
 	t.Helper()
 	command := exec.Command(os.Args[0])
-	command.Env = append(os.Environ(), crowdAddressEnv+"="+address, crowdBehaviorEnv+"="+behavior, crowdTimeoutEnv+"="+timeout.String(), "GOMAXPROCS=2")
+	command.Env = append(os.Environ(), crowdAddressEnv+"="+address, crowdBehaviorEnv+"="+behavior, crowdTimeoutEnv+"="+timeout.String(),
+		crowdSizeEnv+"="+strconv.Itoa(size), "GOMAXPROCS=2")
 	if err := command.Start(); err != nil {
 		t.Fatal(err)
 	}
--- a/cmd/hollymast/process_test.go
+++ b/cmd/hollymast/process_test.go
@@ -36,6 +36,8 @@
 	command *exec.Cmd
 	ended   chan struct{} // closed once the process has ended
 	err     error         // of the process's end; valid once ended is closed
+	// lastState is the last state line of its log; valid once ended is closed.
+	lastState string
 }
 
 // logLine is the part of a line of the router's log that tests read.
@@ -64,6 +66,10 @@
 	go func() {
 		defer close(p.ended)
 		for lines.Scan() { // read the log to its end: otherwise the process blocks on a full pipe
+			var line logLine
+			if json.Unmarshal(lines.Bytes(), &line) == nil && line.Message == "state" {
+				p.lastState = lines.Text()
+			}
 		}
 		p.err = command.Wait()
 	}()
