Platform: what a connection sends without effect is read at a bounded rate

Callers saw: answers over 0.5 s late or none, while 6 to 8 other clients sent health checks or cancelled requests at full speed.

Cause: nothing bounded how much of the process one connection could take. clientConn.readLoop read messages as fast as they came; only malformed and excess ones cost their sender anything (penalize). A health check posted an event each, so that one step of the loop handled 366,541 events in 5.6 s while all other requests waited behind them; cancelled requests queued with their bodies (152 MB). Cancellations of nothing post no event, but their readers never block, each takes 10 ms of processor time at a turn, and each of the six hops of a usual request waited for all of them.

Change: each message without effect is charged by its size to its connection's rate, and beyond that to one that all connections share, in proportion to the cores (control/clientrate.go); the reader pauses until it is paid for. A connection that has to pause gets its requests rejected, because a cancellation may lie unread behind them. While it pauses the reader looks for the client's close (internal/tcpstate, which the gateway had as a function of its own). The sleeps of penalize are replaced by charges. This bounds the events, the processor time and the bytes that any mix of such messages causes, whatever their kind and however many connections send them.

--- a/cmd/hollymast/crowd_test.go
+++ b/cmd/hollymast/crowd_test.go
@@ -161,7 +161,10 @@
 	name := os.Getenv(crowdBehaviorEnv)
 	behavior, ok := crowdBehaviors[name]
 	if !ok {
-		behavior = floodBehaviors[name]
+		behavior, ok = floodBehaviors[name]
+	}
+	if !ok {
+		behavior = crowdBehavior{checkHealthOnce, 0} // connectionFlood
 	}
 	runCrowd(address, behavior, timeout, size)
 }
--- a/cmd/hollymast/flood_test.go
+++ b/cmd/hollymast/flood_test.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net"
 	"slices"
+	"strings"
 	"sync"
 	"syscall"
 	"testing"
@@ -27,8 +28,14 @@
 	"flood of cancellations":         {sendCancellations, slowReconnect},
 	"flood of requests beyond limit": {sendRequestsBeyondLimit, slowReconnect},
 	"flood of unknown classes":       {crowdBehaviors["flood of invalid requests"].behave, slowReconnect},
+	"flood of single bytes":          {sendSingleBytes, slowReconnect},
+	"flood of many fields":           {sendManyFields, slowReconnect},
+	"requests for new functions":     {keepRequestsOpen, slowReconnect},
 }
 
+// connectionFlood opens connections at full speed, sends one health check on each and closes it.
+const connectionFlood = "flood of connections"
+
 // responseReader is what a client does with the responses that it gets.
 type responseReader func(conn net.Conn)
 
@@ -93,6 +100,38 @@
 	sendBatches(conn, readResponses, func(number uint32) []byte { return encodeCall(int(number), "again", timeout, []byte{}) })
 }
 
+// sendSingleBytes sends requests byte by byte.
+func sendSingleBytes(conn net.Conn, timeout time.Duration) {
+	go readResponses(conn)
+	for number := 1; ; number++ {
+		for _, b := range encodeCall(number, "again", timeout, []byte{}) {
+			if _, err := conn.Write([]byte{b}); err != nil {
+				return
+			}
+		}
+	}
+}
+
+// checkHealthOnce sends one health check and closes the connection without waiting for the response.
+func checkHealthOnce(conn net.Conn, _ time.Duration) {
+	conn.Write(mustEncode([]any{0, 1, "isWell", []any{map[string]string{}}}))
+}
+
+// sendManyFields sends health checks with as many and as long fields as the router reads.
+func sendManyFields(conn net.Conn, _ time.Duration) {
+	const fields, valueLength = 32, 1 << 10
+	values := map[string]string{}
+	for n := range fields {
+		values[fmt.Sprint("field-", n)] = strings.Repeat("x", valueLength)
+	}
+	sendBatches(conn, readResponses, func(number uint32) []byte { return mustEncode([]any{0, number, "isWell", []any{values}}) })
+}
+
+// keepRequestsOpen keeps as many requests for ever new functions open as the protocol allows.
+func keepRequestsOpen(conn net.Conn, timeout time.Duration) {
+	keepOpen(conn, maxOpenPerConn, "again", timeout, []byte{})
+}
+
 // usualClients measure how long well-behaved clients wait for responses.
 type usualClients struct {
 	address string
@@ -181,6 +220,13 @@
 	}
 }
 
+// TestConnectionFloodDelaysNobody guards against clients that open and close connections at full speed and delay the responses of
+// others beyond their deadlines.
+func TestConnectionFloodDelaysNobody(t *testing.T) {
+	useBuiltRouter(t)
+	floodBesideClients(t, connectionFlood)
+}
+
 // floodBesideClients floods a router that has a quarter of a core, and checks what other clients see and how much memory the router uses.
 func floodBesideClients(t *testing.T, behavior string) {
 	const (
--- a/internal/msgrpc/msgrpc.go
+++ b/internal/msgrpc/msgrpc.go
@@ -43,6 +43,7 @@
 type Message struct {
 	Kind    Kind
 	Number  uint32
+	Size    int     // in bytes
 	Request Request // of a Call
 }
 
@@ -71,6 +72,7 @@
 // MessageError is the error of a message that cannot be accepted.
 type MessageError struct {
 	Number     uint32
+	Size       int  // bytes of the message that were read
 	Answerable bool // Number is known, so that the error can be answered
 	Unreadable bool // nothing that follows on the connection can be read
 	Text       string
@@ -83,13 +85,35 @@
 type Reader struct {
 	in       io.Reader
 	buffered *bufio.Reader // in, if it is a stream; nil in Decode
+	received *countingReader
 	dec      *msgpack.Decoder
 }
 
+// countingReader counts the bytes that are read from a stream.
+type countingReader struct {
+	in    io.Reader
+	bytes int
+}
+
+func (c *countingReader) Read(b []byte) (int, error) {
+	n, err := c.in.Read(b)
+	c.bytes += n
+	return n, err
+}
+
 // NewReader returns a reader of a stream.
 func NewReader(in io.Reader) *Reader {
-	br := bufio.NewReaderSize(in, 2<<10) // fits a message with a small body; no more, since many connections are idle
-	return &Reader{in: br, buffered: br, dec: msgpack.NewDecoder(br)}
+	received := &countingReader{in: in}
+	br := bufio.NewReaderSize(received, 2<<10) // fits a message with a small body; no more, since many connections are idle
+	return &Reader{in: br, buffered: br, received: received, dec: msgpack.NewDecoder(br)}
+}
+
+// consumed returns the number of bytes of all messages read so far.
+func (r *Reader) consumed() int {
+	if r.buffered == nil {
+		return 0
+	}
+	return r.received.bytes - r.buffered.Buffered()
 }
 
 // ErrIncomplete is the error of Decode for the beginning of a message.
@@ -119,12 +143,15 @@
 // Read reads one message. Its error is a *MessageError or that of the stream.
 func (r *Reader) Read() (*Message, error) {
 	m := &Message{}
-	if msgErr, err := r.readMessage(m); msgErr != nil {
+	start := r.consumed()
+	msgErr, err := r.readMessage(m)
+	m.Size = r.consumed() - start
+	if msgErr != nil {
 		var stream *streamError
 		if errors.As(err, &stream) {
 			return nil, stream.err
 		}
-		msgErr.Number = m.Number
+		msgErr.Number, msgErr.Size = m.Number, m.Size
 		return nil, msgErr
 	}
 	return m, nil
--- a/internal/platform/clientconn.go
+++ b/internal/platform/clientconn.go
@@ -42,6 +42,7 @@
 	closeReason       atomic.Uint32  // a clientClose
 	messageCount      int64          // messages since messagesSince; reader only
 	messagesSince     control.Micros // reader only
+	pacer             pacer
 }
 
 // hasAbandoned reports whether the client has stopped waiting for the response to a request.
@@ -76,7 +77,10 @@
 	in := msgrpc.NewReader(c.input)
 	firstDeadline := time.Now().Add(firstMessageTimeout)
 	for {
-		c.limitReadingAtStop()
+		if !c.pace() {
+			return
+		}
+		c.limitReadingAtEnd()
 		if over := c.readTimeExpired(); !in.Buffered() && (over || !c.awaitMessage(in, firstDeadline)) {
 			return
 		}
@@ -96,7 +100,7 @@
 				return
 			}
 			c.sentMessage.Store(true)
-			c.penalize()
+			c.penalize(fault.Size)
 			continue
 		case err != nil:
 			if errors.Is(err, os.ErrDeadlineExceeded) && !c.readTimeExpired() {
@@ -128,9 +132,11 @@
 	switch m.Kind {
 	case msgrpc.HealthCheck:
 		c.countMessage(messageHealthCheck)
+		c.pacer.charge(m.Size)
 		c.handleHealthCheck(m.Number)
 	case msgrpc.Cancel:
 		c.countMessage(messageCancellation)
+		c.pacer.charge(m.Size)
 		c.handleCancellation(m.Number)
 	case msgrpc.Call:
 		c.countMessage(messageRequest)
@@ -180,21 +186,16 @@
 	excessiveFaults = 1000
 )
 
-// penalize slows down a client that sends malformed messages. The responses to a flood of them would take processor
-// time from other clients; a few hundred at once can be answered within the time that such a client must be answered
-// in. While its reader sleeps, a cancellation would go unnoticed, so none of the client's requests stay open from
-// tolerableFaults on.
-//
-// What is read last from a connection is bounded, and is answered without pauses.
-func (c *clientConn) penalize() {
+// penalize charges a client for a malformed or rejected message. A few hundred at once are answered within the time in which
+// such a client must be answered; from excessiveFaults on each is charged twice. While its reader pauses, a cancellation would
+// go unnoticed, so none of the client's requests stay open from tolerableFaults on.
+func (c *clientConn) penalize(bytes int) {
+	c.pacer.charge(bytes)
 	switch c.faults++; {
 	case c.faults == tolerableFaults:
 		c.failOpen(requestOutcome{endFailed, reasonConnRejects})
-	case c.input.finished:
 	case c.faults > excessiveFaults:
-		time.Sleep(20 * time.Millisecond)
-	case c.faults > tolerableFaults:
-		time.Sleep(2 * time.Millisecond)
+		c.pacer.charge(bytes)
 	}
 }
 
@@ -203,7 +204,7 @@
 	if c.rejectWith != nil {
 		c.router.requestEnds.add(requestOutcome{endRejected, reasonConnRejects})
 		c.reply(c.rejectWith(m.Number))
-		c.penalize()
+		c.penalize(m.Size)
 		return
 	}
 	if c.router.listenerClosing() {
@@ -211,15 +212,22 @@
 		c.reply(msgrpc.EncodeRejection(m.Number, c.router.config.Deployment.MaxRetryAfter))
 		return
 	}
+	if c.pacer.exceeded {
+		c.lastNumber = max(c.lastNumber, m.Number)
+		c.pacer.charge(m.Size)
+		c.router.requestEnds.add(requestOutcome{endRejected, reasonClientTooFast})
+		c.reply(msgrpc.EncodeRejection(m.Number, c.router.config.Deployment.MaxRetryAfter))
+		return
+	}
 	req := &request{
-		id: m.Request.ID, number: m.Number, client: c, message: m.Request,
+		id: m.Request.ID, number: m.Number, size: m.Size, client: c, message: m.Request,
 		readAt: c.router.loop.Now(), arrivedAt: c.arrivalTime(),
 	}
 	if why := c.router.validate(&m.Request, req); why != "" {
 		c.router.countBadMessage(&msgrpc.MessageError{Number: m.Number, Text: why})
 		c.router.requestEnds.add(requestOutcome{endFailed, reasonInvalid})
 		c.reply(msgrpc.EncodeInvalid(m.Number, why))
-		c.penalize()
+		c.penalize(m.Size)
 		return
 	}
 	c.mu.Lock()
@@ -246,7 +254,7 @@
 		c.router.anomalies.add(requestRejected)
 		c.router.requestEnds.add(requestOutcome{endRejected, reasonTooManyOpen})
 		c.reply(msgrpc.EncodeRejection(m.Number, c.router.config.Deployment.MaxRetryAfter))
-		c.penalize()
+		c.penalize(m.Size)
 		return
 	}
 	c.router.loop.Post(func(now control.Micros) { c.router.handleRequest(now, req) })
@@ -263,6 +271,7 @@
 	}
 	c.mu.Unlock()
 	if req != nil {
+		c.pacer.charge(req.size)
 		c.router.loop.Post(func(now control.Micros) {
 			c.router.handleCancel(now, req, requestOutcome{endCancelled, reasonClientLeft})
 		})
@@ -330,6 +339,9 @@
 	}
 	if open {
 		c.router.recordLateResponse(req)
+		if !req.served {
+			c.pacer.charge(req.size)
+		}
 		c.post(data)
 		c.wakeReader()
 	}
--- a/internal/platform/clientdeadlines.go
+++ b/internal/platform/clientdeadlines.go
@@ -57,10 +57,10 @@
 	return expired && len(c.input.remaining) == 0
 }
 
-// limitReadingAtStop bounds the time for further messages once the listener closes and no request is open: all requests
-// of well-behaved clients have been sent by then, and others might never pause.
-func (c *clientConn) limitReadingAtStop() {
-	if !c.router.listenerClosing() {
+// limitReadingAtEnd bounds the time for further messages on a closing connection on which no request is open, if the client
+// may never pause: it sends faster than it is read, or the listener closes and well-behaved clients have sent all requests.
+func (c *clientConn) limitReadingAtEnd() {
+	if !c.router.listenerClosing() && !c.pacer.exceeded {
 		return
 	}
 	c.mu.Lock()
--- a/internal/platform/requestlog.go
+++ b/internal/platform/requestlog.go
@@ -47,16 +47,17 @@
 
 // The reasons of this package for ending a request, in addition to those of the balancer.
 const (
-	reasonStarting     control.Reason = "the router waits for discovery"
-	reasonStopping     control.Reason = "the router is stopping"
-	reasonDuplicate    control.Reason = "its id is in flight already"
-	reasonNotAccepted  control.Reason = "the core did not accept it"
-	reasonTooManyOpen  control.Reason = "too many are open on its connection"
-	reasonConnRejects  control.Reason = "its connection is over the limit, or fails all requests"
-	reasonInvalid      control.Reason = "it breaks the protocol"
-	reasonClientLeft   control.Reason = "its client cancelled or closed"
-	reasonServerAnswer control.Reason = "a server answered"
-	reasonNotGiven     control.Reason = "not given"
+	reasonStarting      control.Reason = "the router waits for discovery"
+	reasonStopping      control.Reason = "the router is stopping"
+	reasonDuplicate     control.Reason = "its id is in flight already"
+	reasonNotAccepted   control.Reason = "the core did not accept it"
+	reasonTooManyOpen   control.Reason = "too many are open on its connection"
+	reasonConnRejects   control.Reason = "its connection is over the limit, or fails all requests"
+	reasonClientTooFast control.Reason = "its client sends faster than it is read"
+	reasonInvalid       control.Reason = "it breaks the protocol"
+	reasonClientLeft    control.Reason = "its client cancelled or closed"
+	reasonServerAnswer  control.Reason = "a server answered"
+	reasonNotGiven      control.Reason = "not given"
 )
 
 // requestIDFormat is the format of request ids in the log, the same as the one that clients send.
--- a/internal/platform/requests.go
+++ b/internal/platform/requests.go
@@ -14,6 +14,7 @@
 type request struct {
 	id        control.RequestID
 	number    uint32
+	size      int // of its message, in bytes
 	client    *clientConn
 	message   msgrpc.Request
 	readAt    control.Micros // when its last byte was read
@@ -22,6 +23,7 @@
 	class     control.ClassID
 	tenant    control.TenantID
 	answer    attempt.FinalResponse
+	served    bool // its final response is a server's answer
 	attempts  []*serverCall
 }
 
@@ -194,6 +196,7 @@
 	if req.answer.AttemptEnded(outcome.Result) == attempt.Deliver {
 		outcome.RequestDone = true
 		r.core.HandleOutcome(now, req.id, outcome)
+		req.served = true
 		r.recordRequestEnd(req, endServed, reasonServerAnswer)
 		r.finish(req, msgrpc.EncodeSuccess(req.number, answer.Body))
 		return
--- a/internal/platform/router.go
+++ b/internal/platform/router.go
@@ -18,6 +18,7 @@
 	"time"
 
 	"github.com/rs/zerolog"
+	"golang.org/x/time/rate"
 
 	"hollymast/control"
 	"hollymast/internal/acceptqueue"
@@ -74,6 +75,9 @@
 	messages        counter[messageKind]
 	busiestClient   peak // most messages from one connection within busiestClientInterval
 
+	clientRate       control.ClientRate
+	sharedClientRate *rate.Limiter // of what clients send beyond their own rate
+
 	maxClients, maxServerConns int
 }
 
@@ -98,6 +102,8 @@
 	}
 	r.fleet.UseSourceClock()
 	r.fleet.SetSlowStartDuration(config.Deployment.SlowStartDuration)
+	r.clientRate = control.ClientRateFor(config.Cores)
+	r.sharedClientRate = newSharedRate(r.clientRate)
 	// Well-behaved clients use up to a third of the sockets; the rest of this half is for silent clients.
 	r.maxClients = config.Sockets / 2
 	r.maxServerConns = config.Sockets - r.maxClients - reservedSockets
--- a/internal/platform/trackedconn.go
+++ b/internal/platform/trackedconn.go
@@ -7,6 +7,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"hollymast/internal/tcpstate"
 )
 
 // trackedConn is a client connection that tracks up to which time everything the client sent has been processed. No
@@ -128,6 +130,9 @@
 	return true
 }
 
+// peerClosed reports whether the client has closed the connection, even if input before that is unread.
+func (t *trackedConn) peerClosed() bool { return t.raw != nil && tcpstate.PeerClosed(t.raw) }
+
 // lastEmptyAt returns when the reader last found nothing pending.
 func (t *trackedConn) lastEmptyAt() time.Time {
 	t.mu.Lock()
--- a/internal/rest/sockets.go
+++ b/internal/rest/sockets.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"hollymast/internal/tcpstate"
 )
 
 // This file queries the kernel for connection state that a read does not show. A query is one system call that neither
@@ -24,14 +26,12 @@
 
 // peerClosed reports whether the peer has closed its side of a connection or reset it, even if there are unread bytes.
 func peerClosed(conn net.Conn) bool {
-	state := 0
-	ok := withDescriptor(conn, func(fd int) {
-		if v, err := unix.GetsockoptInt(fd, unix.IPPROTO_TCP, unix.TCP_INFO); err == nil {
-			state = v & 0xff // tcpi_state is the first byte of struct tcp_info
-		}
-	})
-	const established = 1 // TCP_ESTABLISHED, the same in all Linux versions
-	return ok && state != 0 && state != established
+	socket, isSocket := conn.(syscall.Conn)
+	if !isSocket {
+		return false
+	}
+	raw, err := socket.SyscallConn()
+	return err == nil && tcpstate.PeerClosed(raw)
 }
 
 // withDescriptor calls f with a connection's file descriptor; ok is false if it has none or is closed.
