Functions are forgotten also while new ones keep coming

Cause: control/maintenance.go, pruneFunctions: after a pass the cursor stood behind the last function. Functions added until the next call lie right there, so the next call checked the newest alone, which are in use, and moved on to the end again; older ones were never checked any more once a first pass had found all of them in use.

Change: the cursor starts anew once a pass has reached the end.

--- a/control/balancer_test.go
+++ b/control/balancer_test.go
@@ -638,6 +638,34 @@
 	}
 }
 
+// TestPruneDropsIdleFunctionsWhileNewOnesCome guards against functions that are kept for good because new ones come between any two calls.
+func TestPruneDropsIdleFunctionsWhileNewOnesCome(t *testing.T) {
+	const (
+		perCall = 200
+		calls   = 1000
+		inUse   = 100 // calls for which a new function is in use: more functions than Maintain keeps without checking them
+	)
+	b := newTestBalancer(testDeployment(), 1)
+	next, most := FunctionID(0), 0
+	for range calls {
+		for range perCall {
+			req := newRequest(RequestID(next))
+			req.Function = next
+			b.function(req).recentRequests = 1
+			if f := b.functions[next-inUse*perCall]; f != nil {
+				f.recentRequests = 0
+			}
+			next++
+		}
+		b.prune(testNow)
+		most = max(most, len(b.functions))
+	}
+	const passes = 2 * (inUse*perCall/(1<<11) + 1) // calls until all are checked twice
+	if allowed := (inUse + passes) * perCall; most > allowed || len(b.functionOrder) != len(b.functions) {
+		t.Errorf("%d functions at most, %d in order and %d known at the end, %d allowed", most, len(b.functionOrder), len(b.functions), allowed)
+	}
+}
+
 func TestPruneDropsRemovedServers(t *testing.T) {
 	b := newTestBalancer(testDeployment(), 2)
 	addReplica(b, 1, 0)
--- a/control/maintenance.go
+++ b/control/maintenance.go
@@ -51,8 +51,11 @@
 		}
 		return forget
 	})
+	reachedEnd := to == len(b.functionOrder)
 	b.functionOrder = slices.Delete(b.functionOrder, from+len(kept), to)
-	b.pruneCursor = from + len(kept)
+	if b.pruneCursor = from + len(kept); reachedEnd {
+		b.pruneCursor = 0 // not the position at which the functions added until the next call begin
+	}
 }
 
 // pruneServers drops servers that left the endpoint list long ago and have no attempt in flight.
--- a/control/reference_test.go
+++ b/control/reference_test.go
@@ -211,8 +211,11 @@
 			}
 			return forget
 		})
+		reachedEnd := to == len(b.functionOrder)
 		b.functionOrder = slices.Delete(b.functionOrder, from+len(kept), to)
-		b.pruneCursor = from + len(kept)
+		if b.pruneCursor = from + len(kept); reachedEnd {
+			b.pruneCursor = 0
+		}
 	}
 	for _, s := range slices.Collect(b.servers.all) {
 		if s.State != Removed || len(s.inFlight) > 0 || now < s.lastListed+retention {
