Platform: no attempt begins once the kernel tells that the client has closed

Cause: the last check before the first byte (serverCall.checkAndWrite) trusts what was read from the client up to 50 ms ago. A read that returns the last bytes before a close moves that time forward, though the close behind them had arrived too; until the reader has seen it and marked the requests, which takes a time slice on a busy core, an attempt passes the check.

Change: the check also asks the kernel for the connection's state (internal/tcpstate), if that told the truth when the connection was accepted.

Evidence: TestAttemptOfClosedClientIsNotWritten fails without the line. A probe of a closed window (1 MB unread, reads of 3 KiB) had one short read, the last: the sender refills the window within the read, so nothing was changed there.

--- a/internal/platform/servercall.go
+++ b/internal/platform/servercall.go
@@ -67,14 +67,14 @@
 const maxReaderWait = 100 * time.Millisecond
 
 // checkAndWrite makes the last check before the first byte and then writes that byte. The check does not wait for an
-// event-loop step: it notices that the client has abandoned the request, or that the endpoint list has become too old
-// since the server was chosen. Input that the client's reader has not processed yet may be a cancellation, so the
+// event-loop step: it notices that the client has abandoned the request or closed its connection, or that the endpoint
+// list has become too old since the server was chosen. Input that the client's reader has not processed yet may be a cancellation, so the
 // reader gets time to process it first.
 func (call *serverCall) checkAndWrite(write func() bool) (withdrawn bool) {
 	call.writing.Lock()
 	defer call.writing.Unlock()
 	hasUnread := call.request != nil && !call.request.client.tracked.upToDate(time.Now())
-	mayWrite := call.request == nil || !call.request.abandoned.Load()
+	mayWrite := call.request == nil || !call.request.abandoned.Load() && !call.request.client.tracked.peerClosed()
 	now := call.router.loop.Now()
 	if !hasUnread {
 		call.unreadSince = 0
--- a/internal/platform/trackedconn.go
+++ b/internal/platform/trackedconn.go
@@ -19,6 +19,7 @@
 	net.Conn
 	raw               syscall.RawConn // nil if there is no descriptor
 	readsDescriptor   bool            // reads use the descriptor itself, which shows when nothing is left
+	tellsClose        bool            // the system told that the connection was open when it was accepted, so it will tell of a close
 	mu                sync.Mutex      // held from an access to the descriptor until its result is recorded
 	allProcessed      bool            // everything read has been processed
 	processedUpTo     time.Time       // everything that arrived by then has been processed; zero: not known yet
@@ -36,6 +37,7 @@
 		t.raw, _ = c.SyscallConn()
 	}
 	_, t.readsDescriptor = conn.(*net.TCPConn)
+	t.tellsClose = t.raw != nil && !tcpstate.PeerClosed(t.raw)
 	return t
 }
 
@@ -130,8 +132,9 @@
 	return true
 }
 
-// peerClosed reports whether the client has closed the connection, even if input before that is unread.
-func (t *trackedConn) peerClosed() bool { return t.raw != nil && tcpstate.PeerClosed(t.raw) }
+// peerClosed reports whether the client has closed the connection, even if input before that is unread. It returns false if the
+// system does not tell.
+func (t *trackedConn) peerClosed() bool { return t.tellsClose && tcpstate.PeerClosed(t.raw) }
 
 // lastEmptyAt returns when the reader last found nothing pending.
 func (t *trackedConn) lastEmptyAt() time.Time {
