Platform: a run-once request that comes again under its id is not run again

Cause: Router.release forgot a request with its last attempt. A request under the same id was then a new one: it was sent although the first had run, and refusals worded it as harmless to repeat. The protocol has a new id for each try, so a client that breaks it is needed; the rule on run-once requests has no such exception.

Such an id is answered with a failure wherever a request would be sent or refused: in the loop, at a start or stop, behind too many others, and on connections beyond the limit.

--- a/internal/platform/clientconn.go
+++ b/internal/platform/clientconn.go
@@ -209,14 +209,14 @@
 	}
 	if c.router.listenerClosing() {
 		c.router.requestEnds.add(requestOutcome{endRejected, reasonStopping})
-		c.reply(msgrpc.EncodeRejection(m.Number, c.router.config.Deployment.MaxRetryAfter))
+		c.reply(c.router.rejection(m.Request.ID, m.Number))
 		return
 	}
 	if c.pacer.exceeded {
 		c.lastNumber = max(c.lastNumber, m.Number)
 		c.pacer.charge(m.Size)
 		c.router.requestEnds.add(requestOutcome{endRejected, reasonClientTooFast})
-		c.reply(msgrpc.EncodeRejection(m.Number, c.router.config.Deployment.MaxRetryAfter))
+		c.reply(c.router.rejection(m.Request.ID, m.Number))
 		return
 	}
 	req := &request{
@@ -253,7 +253,7 @@
 	if full {
 		c.router.anomalies.add(requestRejected)
 		c.router.requestEnds.add(requestOutcome{endRejected, reasonTooManyOpen})
-		c.reply(msgrpc.EncodeRejection(m.Number, c.router.config.Deployment.MaxRetryAfter))
+		c.reply(c.router.rejection(m.Request.ID, m.Number))
 		c.penalize(m.Size)
 		return
 	}
--- a/internal/platform/overflowconn.go
+++ b/internal/platform/overflowconn.go
@@ -197,7 +197,7 @@
 		c.open++
 		c.lastRead = c.lastRead || c.open > maxOpenPerClient
 		c.router.requestEnds.add(requestOutcome{endRejected, reasonConnRejects})
-		return msgrpc.EncodeRejection(message.Number, c.router.config.Deployment.MaxRetryAfter)
+		return c.router.rejection(message.Request.ID, message.Number)
 	}
 	return nil
 }
--- a/internal/platform/requestlog.go
+++ b/internal/platform/requestlog.go
@@ -50,6 +50,7 @@
 	reasonStarting      control.Reason = "the router waits for discovery"
 	reasonStopping      control.Reason = "the router is stopping"
 	reasonDuplicate     control.Reason = "its id is in flight already"
+	reasonRepeated      control.Reason = "an earlier request under its id may have run"
 	reasonNotAccepted   control.Reason = "the core did not accept it"
 	reasonTooManyOpen   control.Reason = "too many are open on its connection"
 	reasonConnRejects   control.Reason = "its connection is over the limit, or fails all requests"
--- a/internal/platform/requests.go
+++ b/internal/platform/requests.go
@@ -1,6 +1,7 @@
 package platform
 
 import (
+	"slices"
 	"sync/atomic"
 
 	"hollymast/control"
@@ -36,15 +37,6 @@
 	if req.client.hasAbandoned(req) {
 		return // abandoned before this step
 	}
-	if r.stopRequestedAt > 0 && now >= r.stopRequestedAt+acceptRequestsFor {
-		r.recordRequestEnd(req, endRejected, reasonStopping)
-		r.finish(req, msgrpc.EncodeRejection(req.number, r.config.Deployment.MaxRetryAfter))
-		return
-	}
-	if r.startup.pending {
-		r.holdEarlyRequest(req)
-		return
-	}
 	if r.requests[req.id] != nil {
 		r.countBadMessage(&msgrpc.MessageError{Number: req.number, Text: "ref: open already"})
 		if other := r.requests[req.id]; other.client == req.client && !other.answer.Decided { // responses would be ambiguous
@@ -56,6 +48,21 @@
 		r.finish(req, msgrpc.EncodeInvalid(req.number, "ref: open already"))
 		return
 	}
+	if r.recentRequests.Contains(now, req.id) {
+		r.countBadMessage(&msgrpc.MessageError{Number: req.number, Text: "ref: used before"})
+		r.recordRequestEnd(req, endFailed, reasonRepeated)
+		r.finish(req, msgrpc.EncodeFailure(req.number))
+		return
+	}
+	if r.stopRequestedAt > 0 && now >= r.stopRequestedAt+acceptRequestsFor {
+		r.recordRequestEnd(req, endRejected, reasonStopping)
+		r.finish(req, r.rejection(req.id, req.number))
+		return
+	}
+	if r.startup.pending {
+		r.holdEarlyRequest(req)
+		return
+	}
 	r.requests[req.id] = req
 	err := r.core.Add(now, control.Request{ID: req.id, Class: req.class, Tenant: req.tenant, Function: req.message.FunctionID(),
 		Lanes: req.message.Lanes, ExecTimeHint: req.message.ExecTimeHint, LoadTimeHint: req.message.LoadTimeHint, ArrivedAt: now,
@@ -64,7 +71,7 @@
 		r.log.Error().Err(err).Msg("request not accepted")
 		delete(r.requests, req.id)
 		r.recordRequestEnd(req, endRejected, reasonNotAccepted)
-		r.finish(req, msgrpc.EncodeRejection(req.number, r.config.Deployment.MaxRetryAfter))
+		r.finish(req, r.rejection(req.id, req.number))
 	}
 }
 
@@ -83,9 +90,27 @@
 
 // release removes a request that has its final response and no attempt in flight.
 func (r *Router) release(req *request) {
-	if req.answer.Done() && r.requests[req.id] == req {
-		delete(r.requests, req.id)
+	if !req.answer.Done() || r.requests[req.id] != req {
+		return
 	}
+	delete(r.requests, req.id)
+	if r.config.Deployment.Classes[req.class].Idempotency != control.Idempotent && req.mayHaveRun() {
+		r.recentRequests.Add(r.loop.Now(), req.id)
+	}
+}
+
+// rejection returns the response to a request that was not passed to the core: a rejection, or a failure if an earlier request
+// under its id may have run. Any goroutine may call it.
+func (r *Router) rejection(id control.RequestID, number uint32) []byte {
+	if r.recentRequests.Contains(r.loop.Now(), id) {
+		return msgrpc.EncodeFailure(number)
+	}
+	return msgrpc.EncodeRejection(number, r.config.Deployment.MaxRetryAfter)
+}
+
+// mayHaveRun reports whether an attempt of a request without attempts in flight may have run.
+func (req *request) mayHaveRun() bool {
+	return slices.ContainsFunc(req.attempts, func(call *serverCall) bool { return !control.Result(call.result).ProvesNotRun() })
 }
 
 // handleCancel ends a request whose client no longer waits for it, or whose connection has failed. outcome is how the
--- a/internal/platform/router.go
+++ b/internal/platform/router.go
@@ -22,6 +22,7 @@
 
 	"hollymast/control"
 	"hollymast/internal/acceptqueue"
+	"hollymast/internal/attempt"
 	"hollymast/internal/core"
 	"hollymast/internal/discovery"
 	"hollymast/internal/eventloop"
@@ -39,6 +40,7 @@
 	core            *core.Core
 	fleet           *fleet.Fleet
 	requests        map[control.RequestID]*request
+	recentRequests  attempt.RecentRequests // non-idempotent ones, and those that are idempotent by key
 	pools           map[control.ServerID]*serverPool
 	serverConnCount int                              // server connections in all pools
 	connsByIdle     *list.List                       // *serverConn, least recently used first
--- a/internal/platform/startup.go
+++ b/internal/platform/startup.go
@@ -2,7 +2,6 @@
 
 import (
 	"hollymast/control"
-	"hollymast/internal/msgrpc"
 )
 
 // startup is the time until discovery has confirmed the endpoint list. No request is sent to a server before that: the list
@@ -29,7 +28,7 @@
 
 func (r *Router) rejectEarlyRequest(req *request) {
 	r.recordRequestEnd(req, endRejected, reasonStarting)
-	r.finish(req, msgrpc.EncodeRejection(req.number, r.config.Deployment.MaxRetryAfter))
+	r.finish(req, r.rejection(req.id, req.number))
 }
 
 // rejectEarlyRequests rejects the early requests, those held and those to come.
