Platform: what is held for clients is bounded by the memory granted

Checked first: clients that write slowly, stop half way through a large request, send 32 fields of 1 KiB without an end, or 60,000 short fields: 8 to 26 MB of 64, nothing lost. But 192 connections may have 32 requests of 16 KiB open, 96 MB, and as much may lie unread in write queues: nothing bounded the sum. A queue of very small responses counted its data only (12 bytes of some 200).

A frame counts with its overhead.

--- a/cmd/hollymast/crowd_test.go
+++ b/cmd/hollymast/crowd_test.go
@@ -159,14 +159,11 @@
 		panic(err)
 	}
 	name := os.Getenv(crowdBehaviorEnv)
-	behavior, ok := crowdBehaviors[name]
-	if !ok {
-		behavior, ok = floodBehaviors[name]
+	behaviors := map[string]crowdBehavior{connectionFlood: {checkHealthOnce, 0}}
+	for _, more := range []map[string]crowdBehavior{crowdBehaviors, floodBehaviors, memoryBehaviors} {
+		maps.Copy(behaviors, more)
 	}
-	if !ok {
-		behavior = crowdBehavior{checkHealthOnce, 0} // connectionFlood
-	}
-	runCrowd(address, behavior, timeout, size)
+	runCrowd(address, behaviors[name], timeout, size)
 }
 
 // startCrowd starts a crowd in a process of its own, which ends when end is called.
--- a/internal/platform/clientconn.go
+++ b/internal/platform/clientconn.go
@@ -43,6 +43,7 @@
 	messageCount      int64          // messages since messagesSince; reader only
 	messagesSince     control.Micros // reader only
 	pacer             pacer
+	bytes             clientBytes // of its open requests and its unread responses
 }
 
 // hasAbandoned reports whether the client has stopped waiting for the response to a request.
@@ -234,7 +235,8 @@
 	increasing := m.Number > c.lastNumber
 	c.lastNumber = max(c.lastNumber, m.Number)
 	full := len(c.open) >= maxOpenPerClient || c.faults >= tolerableFaults
-	if increasing && !full {
+	admitted := increasing && !full && c.bytes.addRequest(c.router.clientBytes.limits.RequestBytes(m.Size))
+	if admitted {
 		c.open[m.Number] = req
 		c.unanswered = false
 	}
@@ -257,9 +259,25 @@
 		c.penalize(m.Size)
 		return
 	}
+	if !admitted {
+		c.router.requestEnds.add(requestOutcome{endRejected, reasonMemory})
+		c.pacer.charge(m.Size)
+		c.reply(c.router.rejection(m.Request.ID, m.Number))
+		return
+	}
 	c.router.loop.Post(func(now control.Micros) { c.router.handleRequest(now, req) })
 }
 
+// removeOpen removes a request from those that are open, and reports whether it was. The caller holds mu.
+func (c *clientConn) removeOpen(req *request) bool {
+	if c.open[req.number] != req {
+		return false
+	}
+	delete(c.open, req.number)
+	c.bytes.remove(c.router.clientBytes.limits.RequestBytes(req.size))
+	return true
+}
+
 // handleCancellation cancels a request. From here on no attempt of it is written, even if the event loop has not
 // handled the cancellation yet.
 func (c *clientConn) handleCancellation(number uint32) {
@@ -267,7 +285,7 @@
 	req := c.open[number]
 	if req != nil {
 		req.abandoned.Store(true)
-		delete(c.open, number)
+		c.removeOpen(req)
 	}
 	c.mu.Unlock()
 	if req != nil {
@@ -284,10 +302,10 @@
 	defer c.mu.Unlock()
 	for number, req := range c.open {
 		req.abandoned.Store(true)
+		c.removeOpen(req)
 		c.post(msgrpc.EncodeFailure(number))
 		c.router.loop.Post(func(now control.Micros) { c.router.handleCancel(now, req, outcome) })
 	}
-	clear(c.open)
 }
 
 // finish closes the connection after everything queued is written. The connection counts towards the limit until its
@@ -330,10 +348,7 @@
 // respond sends the response to a request if its client is still waiting for one.
 func (c *clientConn) respond(req *request, data []byte) {
 	c.mu.Lock()
-	open := c.open[req.number] == req
-	if open {
-		delete(c.open, req.number)
-	}
+	open := c.removeOpen(req)
 	if len(c.open) == 0 {
 		c.idleSince.Store(int64(c.router.loop.Now()))
 	}
--- a/internal/platform/clients.go
+++ b/internal/platform/clients.go
@@ -69,6 +69,8 @@
 		closed: make(chan struct{}), closeNowRequested: make(chan struct{}),
 	}
 	c.writes.maxQueuedBytes, c.writes.conn, c.writes.written = maxUnreadByClient, conn, make(chan struct{})
+	c.bytes.all = &r.clientBytes
+	c.writes.bytes, c.writes.refused = &c.bytes, func() { c.setCloseReason(clientCloseUnread) }
 	c.pacer.init(r.clientRate, r.sharedClientRate)
 	c.writes.waited = &r.delayPeaks.responseWait
 	c.idleSince.Store(int64(r.loop.Now()))
--- a/internal/platform/connlog.go
+++ b/internal/platform/connlog.go
@@ -13,6 +13,7 @@
 	clientCloseSlow
 	clientCloseMalformed
 	clientCloseForRoom
+	clientCloseUnread
 	clientCloseOverLimit
 	clientCloseShutdown
 	clientClosePanic
@@ -25,6 +26,7 @@
 	clientCloseSlow:      "client too slow",
 	clientCloseMalformed: "client broke the protocol",
 	clientCloseForRoom:   "client idle, to make room",
+	clientCloseUnread:    "client, too many responses unread",
 	clientCloseOverLimit: "client over the limit",
 	clientCloseShutdown:  "client, shutdown",
 	clientClosePanic:     "client, panic",
--- a/internal/platform/requestlog.go
+++ b/internal/platform/requestlog.go
@@ -51,6 +51,7 @@
 	reasonStopping      control.Reason = "the router is stopping"
 	reasonDuplicate     control.Reason = "its id is in flight already"
 	reasonRepeated      control.Reason = "an earlier request under its id may have run"
+	reasonMemory        control.Reason = "its connection holds too much memory"
 	reasonNotAccepted   control.Reason = "the core did not accept it"
 	reasonTooManyOpen   control.Reason = "too many are open on its connection"
 	reasonConnRejects   control.Reason = "its connection is over the limit, or fails all requests"
--- a/internal/platform/requests.go
+++ b/internal/platform/requests.go
@@ -117,9 +117,7 @@
 // log describes its end.
 func (r *Router) handleCancel(now control.Micros, req *request, outcome requestOutcome) {
 	req.client.mu.Lock()
-	if req.client.open[req.number] == req {
-		delete(req.client.open, req.number)
-	}
+	req.client.removeOpen(req)
 	req.client.mu.Unlock()
 	if req.answer.Decided || r.requests[req.id] != req {
 		return
--- a/internal/platform/router.go
+++ b/internal/platform/router.go
@@ -77,6 +77,7 @@
 	messages        counter[messageKind]
 	busiestClient   peak // most messages from one connection within busiestClientInterval
 
+	clientBytes      heldBytes
 	clientRate       control.ClientRate
 	sharedClientRate *rate.Limiter // of what clients send beyond their own rate
 
@@ -108,6 +109,7 @@
 	r.sharedClientRate = newSharedRate(r.clientRate)
 	// Well-behaved clients use up to a third of the sockets; the rest of this half is for silent clients.
 	r.maxClients = config.Sockets / 2
+	r.clientBytes.limits = control.ClientMemoryFor(int64(config.MemoryMB)<<20, r.maxClients)
 	r.maxServerConns = config.Sockets - r.maxClients - reservedSockets
 	deployment := config.Deployment
 	deployment.Zone = r.fleet.ZoneID(config.zone)
--- a/internal/platform/writequeue.go
+++ b/internal/platform/writequeue.go
@@ -25,7 +25,9 @@
 	closed         bool
 	// firstWrite writes the first bytes of a frame that has checkAndWrite; nil means the system call.
 	firstWrite func(fd int, b []byte) (int, error)
-	waited     *peak // longest time from post to write, in microseconds; nil: not recorded
+	bytes      *clientBytes // counts the queued frames; nil: they are not counted
+	refused    func()       // called when a frame would exceed a limit; may be nil
+	waited     *peak        // longest time from post to write, in microseconds; nil: not recorded
 	// written, if not nil, is closed when nothing more will be written. In that case only the write direction of the
 	// connection is closed after the last frame, and the goroutine that reads closes the connection.
 	written chan struct{}
@@ -53,16 +55,23 @@
 // two thirds of the 0.15 s by which a stated deadline may exceed the time that the client has left.
 const frameRestTimeout = 100 * time.Millisecond
 
+// frameOverhead is what a queued frame takes besides its data, in bytes: a queue of very small ones is bounded, too.
+const frameOverhead = 256
+
 // post queues a frame, and returns false if the connection takes no more frames. If the queue would exceed
-// maxQueuedBytes, because the peer sends requests but does not read the answers, the connection is closed.
+// maxQueuedBytes, or may not be held for its client, because the peer sends requests but does not read the answers, the
+// connection is closed.
 func (q *writeQueue) post(frame queuedFrame) bool {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	if q.closed || q.closing {
 		return false
 	}
-	frame.size, frame.queuedAt = max(frame.size, len(frame.data)), time.Now()
-	if q.queuedBytes+frame.size > q.maxQueuedBytes {
+	frame.size, frame.queuedAt = max(frame.size, len(frame.data))+frameOverhead, time.Now()
+	if q.queuedBytes+frame.size > q.maxQueuedBytes || q.bytes != nil && !q.bytes.addResponse(int64(q.queuedBytes), int64(frame.size)) {
+		if q.refused != nil {
+			q.refused()
+		}
 		q.closeLocked()
 		return false
 	}
@@ -131,12 +140,20 @@
 		close(q.written)
 	}
 	q.closed = true
+	q.uncount(q.queuedBytes)
 	q.queue, q.queuedBytes = nil, 0
 	if q.conn != nil {
 		q.conn.Close()
 	}
 }
 
+// uncount stops counting bytes that are not queued any more. The caller holds mu.
+func (q *writeQueue) uncount(bytes int) {
+	if q.bytes != nil {
+		q.bytes.remove(int64(bytes))
+	}
+}
+
 // empty reports whether nothing is queued or being written.
 func (q *writeQueue) empty() bool {
 	q.mu.Lock()
@@ -162,6 +179,7 @@
 			q.queue = nil
 		}
 		q.queuedBytes -= frame.size
+		q.uncount(frame.size)
 		q.mu.Unlock()
 		if q.waited != nil {
 			q.waited.record(time.Since(frame.queuedAt).Microseconds())
