--- a/cmd/hollymast/memory_test.go
+++ b/cmd/hollymast/memory_test.go
@@ -126,6 +126,9 @@
 	router.signal(syscall.SIGTERM) // it logs its state
 	<-router.ended
 	t.Logf("%s", router.lastState)
+	if lost := usual.ends[endUnanswered]; lost > 0 {
+		t.Errorf("%d usual requests were answered too late or never", lost)
+	}
 	t.Logf("%.1f MB; usual requests: %v, longest wait %v", peak, usual.ends, usual.longest.Round(time.Millisecond))
 	return peak
 }
