Gateway: a server is a process, not an address, for what may have run there

The same class in withdrawUnlessReady: an update that replaces a process by another at its address left the calls that were chosen for the first to be written to the second. On the platform a server is its uid and start.

Change: fleet.Server.SameSince says since when an id is known to be the same process at the same place. An earlier attempt from before that has no known zone and cell, which no server has, so a keyed request that may have run fails where it would leave its group. Calls from before are withdrawn. Stored data keeps its form. The price: after a restart of the gateway a keyed request whose group is a zone or cell fails where the list states no start.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -37,6 +37,7 @@
 	Endpoint    Endpoint       // as last listed
 	listedStart int64          // Endpoint.StartedAt as last listed
 	startedAt   control.Micros // start time on the router's clock
+	sameSince   control.Micros // see SameSince
 	removedAt   control.Micros // time of the last list that it was on
 	fullUpdate  uint64         // number of the last full update that listed it
 }
@@ -175,14 +176,22 @@
 		}
 		f.counts[e.State]++
 		// Without a start time, a server that was removed may have restarted in the meantime.
-		newStart := s == nil || s.listedStart != e.StartedAt || s.State == control.Removed && e.StartedAt == 0
-		if s == nil {
+		known := s != nil
+		newStart := !known || s.listedStart != e.StartedAt || s.State == control.Removed && e.StartedAt == 0
+		if !known {
 			s = &Server{ID: id, Address: e.Address}
 			f.servers[id] = s
 		}
+		moved := known && (s.Endpoint.Address != e.Address || s.Endpoint.Zone != e.Zone || s.Endpoint.Cell != e.Cell)
 		if newStart {
 			s.listedStart, s.startedAt = e.StartedAt, f.startedAt(now, e.StartedAt, s.startedAt)
 		}
+		if newStart || moved {
+			s.sameSince = now
+			if e.StartedAt != 0 && !moved {
+				s.sameSince = s.startedAt
+			}
+		}
 		s.Endpoint, s.Address = e, e.Address
 		s.State, s.Zone, s.Cell = e.State, f.ZoneID(e.Zone), intern(f.cells, e.Cell)
 		s.removedAt = now
@@ -243,6 +252,10 @@
 // StartedAt returns when the server started, on the router's clock; 0 if long ago.
 func (s *Server) StartedAt() control.Micros { return s.startedAt }
 
+// SameSince returns since when the server is known to be the same process, at the same address and in the same zone and cell, on
+// the router's clock. Another process may have had its address, and so its ID, before.
+func (s *Server) SameSince() control.Micros { return s.sameSince }
+
 // InSlowStart reports whether a server started less than span ago.
 func (s *Server) InSlowStart(now, span control.Micros) bool {
 	return s.startedAt > 0 && now < s.startedAt+span
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -155,3 +155,42 @@
 		t.Errorf("started %d, its previous incarnation %d", then[0].StartedAt, first[0].StartedAt)
 	}
 }
+
+// SameSince moves forward when another process may have the server's address: with a later start, in another zone or cell, or at another
+// address under its name.
+func TestSameSince(t *testing.T) {
+	const name = "s-1"
+	base := Endpoint{Name: name, Address: "127.0.0.1:1", State: control.Ready, Zone: "east", Cell: "c1"}
+	change := func(set func(e *Endpoint)) Endpoint {
+		e := base
+		set(&e)
+		return e
+	}
+	for what, c := range map[string]struct {
+		next Endpoint
+		want control.Micros
+	}{
+		"the same":          {base, 100},
+		"draining":          {change(func(e *Endpoint) { e.State = control.Draining }), 100},
+		"another weight":    {change(func(e *Endpoint) { e.Weight = 2 }), 100},
+		"another zone":      {change(func(e *Endpoint) { e.Zone = "west" }), 300},
+		"another cell":      {change(func(e *Endpoint) { e.Cell = "c2" }), 300},
+		"another address":   {change(func(e *Endpoint) { e.Address = "127.0.0.1:2" }), 300},
+		"started later":     {change(func(e *Endpoint) { e.StartedAt = 250 }), 250},
+		"started and moved": {change(func(e *Endpoint) { e.StartedAt, e.Cell = 250, "c2" }), 300},
+	} {
+		for _, full := range []bool{false, true} {
+			f := New(0)
+			f.FullUpdate(100, []Endpoint{base})
+			f.FullUpdate(200, []Endpoint{base})
+			if full {
+				f.FullUpdate(300, []Endpoint{c.next})
+			} else {
+				f.IncrementalUpdate(300, []Endpoint{c.next})
+			}
+			if got := f.Get(ID(name)).SameSince(); got != c.want {
+				t.Errorf("%s, full update %t: %d, want %d", what, full, got, c.want)
+			}
+		}
+	}
+}
--- a/internal/gateway/endpoints.go
+++ b/internal/gateway/endpoints.go
@@ -13,7 +13,7 @@
 
 // applyEndpointUpdate applies a full or incremental endpoint update.
 func (g *Gateway) applyEndpointUpdate(now control.Micros, update fleet.Update) {
-	eventloop.ApplyUpdate(now, update, g.fleet, g.core, g.pools, g.withdrawUnlessReady)
+	eventloop.ApplyUpdate(now, update, g.fleet, g.core, g.pools, g.withdrawUnlessSame)
 	servers, ready := g.fleet.Count()
 	g.metrics.servers.Set(float64(ready))
 	if !g.stopping {
@@ -22,11 +22,15 @@
 	g.log.Info().Int("servers", servers).Int("ready", ready).Msg("endpoint list applied")
 }
 
-// withdrawUnlessReady withdraws the unwritten calls to a server that is not ready any more.
-func (g *Gateway) withdrawUnlessReady(pool *serverPool) {
-	if s := g.fleet.Get(pool.id); s == nil || s.State != control.Ready {
+// withdrawUnlessSame withdraws the unwritten calls to a server that is not ready any more, or whose address another process has.
+func (g *Gateway) withdrawUnlessSame(pool *serverPool) {
+	s := g.fleet.Get(pool.id)
+	if s == nil || s.State != control.Ready || s.SameSince() != pool.since {
 		g.withdrawCalls(pool)
 	}
+	if s != nil {
+		pool.since = s.SameSince()
+	}
 }
 
 // RefreshEndpoints makes the event loop read the endpoint source again at once.
--- a/internal/gateway/endpoints_test.go
+++ b/internal/gateway/endpoints_test.go
@@ -130,14 +130,16 @@
 	}
 }
 
-// Calls to a server that drains or is removed are withdrawn, by full and by incremental updates.
+// Calls to a server that drains, is removed or has another process at its address are withdrawn, by full and by incremental updates.
 func TestUpdateWithdrawsCalls(t *testing.T) {
 	const address, other = "127.0.0.1:1", "127.0.0.1:2"
 	id := fleet.ID(address)
 	for name, update := range map[string]fleet.Update{
-		"drains": {Endpoints: []fleet.Endpoint{{Address: address, State: control.Draining}}},
-		"goes":   {Endpoints: []fleet.Endpoint{{Address: address, State: control.Removed}}},
-		"all":    {Full: true, Endpoints: []fleet.Endpoint{{Address: other, State: control.Ready}}},
+		"drains":                             {Endpoints: []fleet.Endpoint{{Address: address, State: control.Draining}}},
+		"goes":                               {Endpoints: []fleet.Endpoint{{Address: address, State: control.Removed}}},
+		"has another process at its address": {Endpoints: []fleet.Endpoint{{Address: address, State: control.Ready, StartedAt: time.Now().UnixMicro()}}},
+		"has moved to another cell":          {Endpoints: []fleet.Endpoint{{Address: address, State: control.Ready, Cell: "c2"}}},
+		"all":                                {Full: true, Endpoints: []fleet.Endpoint{{Address: other, State: control.Ready}}},
 	} {
 		tg := newTestGatewayConfigured(t, "", rareEndpointReads, serverConfig(0))
 		stages := make(chan [2]attempt.Stage)
@@ -146,9 +148,9 @@
 			var calls [2]*serverCall
 			for i, to := range []control.ServerID{id, fleet.ID(other)} {
 				calls[i] = tg.gateway.newCall(to, 1_000_000)
-				tg.gateway.pools[to] = &serverPool{id: to, inFlight: map[*serverCall]struct{}{calls[i]: {}}}
+				tg.gateway.pools[to] = &serverPool{id: to, since: tg.gateway.fleet.Get(to).SameSince(), inFlight: map[*serverCall]struct{}{calls[i]: {}}}
 			}
-			tg.gateway.applyEndpointUpdate(now, update)
+			tg.gateway.applyEndpointUpdate(now+1, update)
 			stages <- [2]attempt.Stage{attempt.Stage(calls[0].stage.Load()), attempt.Stage(calls[1].stage.Load())}
 			for _, call := range calls {
 				call.cancel()
--- a/internal/gateway/journal.go
+++ b/internal/gateway/journal.go
@@ -33,7 +33,8 @@
 	return persistence.IdempotencyKey(record.KeyedHash(c.NameKey, function+"\n"+params.IdempotencyKey) | 1)
 }
 
-// unknownLocality is the zone and cell of an earlier attempt whose server is not known any more. No server has it.
+// unknownLocality is the zone and cell of an earlier attempt whose server is not known any more, or may have been another process
+// at the same address. No server has it.
 const unknownLocality = 1<<16 - 1
 
 // earlierAttempts returns the attempts of a request that may have run according to the journal.
@@ -46,7 +47,7 @@
 		earlier := control.Attempt{
 			Server: sent.Server, Zone: unknownLocality, Cell: unknownLocality, SentAt: sent.At, Done: true, MayHaveRun: true,
 		}
-		if server := g.fleet.Get(sent.Server); server != nil {
+		if server := g.fleet.Get(sent.Server); server != nil && server.SameSince() <= sent.At {
 			earlier.Zone, earlier.Cell = server.Zone, server.Cell
 		}
 		attempts = append(attempts, earlier)
--- a/internal/gateway/journal_test.go
+++ b/internal/gateway/journal_test.go
@@ -299,3 +299,77 @@
 		t.Errorf("%v, keys unknown until %d", keeper, keysUnknownUntil)
 	}
 }
+
+// TestRepeatIsBoundToProcessNotAddress guards against a keyed request that may have run being sent again outside its group, because another
+// process has the address of the server that it was sent to.
+func TestRepeatIsBoundToProcessNotAddress(t *testing.T) {
+	const (
+		key     = persistence.IdempotencyKey(7)
+		address = "127.0.0.1:9"
+		second  = control.Micros(1_000_000)
+	)
+	// The list of servers changes from before to after; the attempt was sent in between, or a second before the gateway started.
+	listed := func(cell string, startedAt control.Micros) []fleet.Endpoint {
+		return []fleet.Endpoint{{Address: address, State: control.Ready, Cell: cell, Weight: 1, StartedAt: int64(startedAt)}}
+	}
+	for name, c := range map[string]struct {
+		before, after func(start control.Micros) []fleet.Endpoint
+		sentEarlier   bool
+		known         bool
+	}{
+		"the same process": {
+			before: func(control.Micros) []fleet.Endpoint { return listed("c1", 0) },
+			after:  func(control.Micros) []fleet.Endpoint { return listed("c1", 0) }, known: true,
+		},
+		"a later start": {
+			before: func(start control.Micros) []fleet.Endpoint { return listed("c1", start-20*second) },
+			after:  func(start control.Micros) []fleet.Endpoint { return listed("c1", start+3*second) },
+		},
+		"another cell in the next list": {
+			before: func(control.Micros) []fleet.Endpoint { return listed("c1", 0) },
+			after:  func(control.Micros) []fleet.Endpoint { return listed("c2", 0) },
+		},
+		"gone": {
+			before: func(control.Micros) []fleet.Endpoint { return listed("c1", 0) },
+			after:  func(control.Micros) []fleet.Endpoint { return nil }, known: true,
+		},
+		"sent before a restart of the gateway, to a process of which the start is not listed": {
+			before: func(control.Micros) []fleet.Endpoint { return listed("c1", 0) },
+			after:  func(control.Micros) []fleet.Endpoint { return listed("c1", 0) }, sentEarlier: true,
+		},
+		"sent before a restart of the gateway, to a process that was there": {
+			before: func(start control.Micros) []fleet.Endpoint { return listed("c1", start-20*second) },
+			after:  func(start control.Micros) []fleet.Endpoint { return listed("c1", start-20*second) }, sentEarlier: true, known: true,
+		},
+		"sent before a restart of the gateway, to a process that was replaced since": {
+			before: func(start control.Micros) []fleet.Endpoint { return listed("c1", start-second/2) },
+			after:  func(start control.Micros) []fleet.Endpoint { return listed("c1", start-second/2) }, sentEarlier: true,
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			tg := newTestGatewayWith(t, stateSection(t.TempDir()), serverConfig(0))
+			done := make(chan []control.Attempt)
+			tg.gateway.loop.Post(func(control.Micros) {
+				g, start := tg.gateway, tg.gateway.loop.Epoch
+				g.fleet = fleet.New(0)
+				update := func(at control.Micros, endpoints []fleet.Endpoint) { g.fleet.FullUpdate(at, endpoints) }
+				update(start+second, c.before(start))
+				sentAt := start + 2*second
+				if c.sentEarlier {
+					sentAt = start - second
+				}
+				g.state.keys.Add(key, persistence.SentAttempt{Server: fleet.ID(address), At: sentAt})
+				update(start+4*second, c.after(start))
+				done <- g.earlierAttempts(start+2*second+second/2, key)
+			})
+			attempts := <-done
+			if len(attempts) != 1 || attempts[0].Server != fleet.ID(address) {
+				t.Fatalf("got %+v", attempts)
+			}
+			if known := attempts[0].Cell != unknownLocality; known != c.known {
+				t.Errorf("its cell is known: %t, want %t", known, c.known)
+			}
+		})
+	}
+}
--- a/internal/gateway/serverpool.go
+++ b/internal/gateway/serverpool.go
@@ -10,6 +10,7 @@
 type serverPool struct {
 	id       control.ServerID
 	address  string
+	since    control.Micros // fleet.Server.SameSince of the process that the connections lead to
 	conns    attempt.Connections
 	idle     []*serverConn            // most recently used last
 	inFlight map[*serverCall]struct{} // calls that have not ended
@@ -19,7 +20,7 @@
 func (g *Gateway) poolFor(id control.ServerID) *serverPool {
 	pool := g.pools[id]
 	if pool == nil {
-		pool = &serverPool{id: id, address: g.fleet.Get(id).Address, inFlight: map[*serverCall]struct{}{}}
+		pool = &serverPool{id: id, address: g.fleet.Get(id).Address, since: g.fleet.Get(id).SameSince(), inFlight: map[*serverCall]struct{}{}}
 		g.pools[id] = pool
 	}
 	return pool
