Gateway: what a connection asks without effect is read at a bounded rate

Callers would see: beside 8 clients that send metadata calls or unknown ones at full speed, each on one connection, a gateway on a quarter of a core answers others 22 to 31 requests in 5 s in place of some 650, half of them refusals, the last 1.1 to 1.3 s after they were sent (deadline 1 s).

Infer requests post one event for each connection, so the queue stays short.

Change: the pacer of the platform's connections is internal/pacing, with one owner for both. In the gateway everything but a served inference is charged; the admin listener and a stopping gateway don't pause.

--- a/cmd/hollymast/crowd_test.go
+++ b/cmd/hollymast/crowd_test.go
@@ -163,6 +163,9 @@
 	for _, more := range []map[string]crowdBehavior{crowdBehaviors, floodBehaviors, memoryBehaviors} {
 		maps.Copy(behaviors, more)
 	}
+	for name, flood := range gatewayFloods {
+		behaviors[name] = flood.crowdBehavior
+	}
 	runCrowd(address, behaviors[name], timeout, size)
 }
 
--- a/cmd/hollymast/gateway_shutdown_test.go
+++ b/cmd/hollymast/gateway_shutdown_test.go
@@ -43,6 +43,9 @@
 	}
 	command := exec.Command(os.Args[0])
 	command.Env = append(os.Environ(), routerArgsEnv+"=serve "+name)
+	if built := os.Getenv(routerBinaryEnv); built != "" {
+		command.Path, command.Args = built, []string{built, "serve", name}
+	}
 	gateway = startProcess(t, command, func(line logLine) bool {
 		if line.Message == "serving" {
 			address = line.Listen
--- a/internal/gateway/clientconn.go
+++ b/internal/gateway/clientconn.go
@@ -9,6 +9,7 @@
 
 	"hollymast/control"
 	"hollymast/internal/attempt"
+	"hollymast/internal/pacing"
 	"hollymast/internal/rest"
 	"hollymast/kserve"
 )
@@ -20,11 +21,13 @@
 	limits   rest.Limits
 	conn     *rest.Conn
 	reserved int // bytes of the current request body, included in Gateway.bodyBytes
+	pacer    *pacing.Pacer
+	served   bool // the current request was inferred by a server
 }
 
 // newClientConn returns the state of a client connection.
 func (g *Gateway) newClientConn(conn net.Conn, role listenerRole) *clientConn {
-	c := &clientConn{gateway: g, role: role, limits: rest.DefaultLimits}
+	c := &clientConn{gateway: g, role: role, limits: rest.DefaultLimits, pacer: pacing.New(g.clientRate)}
 	c.limits.MaxBody, c.limits.IdleTimeout = g.config.MaxBody, g.config.ClientIdleTimeout
 	c.limits.HeaderTimeout, c.limits.BodyTimeout = g.config.HeaderTimeout, g.config.BodyTimeout
 	c.conn = rest.NewConn(conn, &c.limits, c.reserve)
@@ -61,14 +64,18 @@
 	if g.isStopping() { // beginStop may have set the deadlines before this connection was stored
 		c.conn.SetIdleDeadline(g.afterStop(readUntil))
 	}
-	for {
+	for c.pace() {
 		msg, err := c.conn.ReadRequest()
 		if err != nil {
 			c.respondToReadError(err)
 			return
 		}
+		c.served = false
 		resp, clientClosed := c.respond(msg)
 		c.releaseBody()
+		if !c.served {
+			c.pacer.Charge(len(msg.Body))
+		}
 		state := attempt.ClientConnection{Stopping: g.isStopping()}
 		state.Pipelined = (clientClosed || state.Stopping) && c.conn.HasPendingInput() &&
 			(!state.Stopping || time.Now().Before(g.afterStop(readUntil)))
@@ -124,7 +131,27 @@
 	if c.role == adminListener {
 		return errorResponse(404, "jobs are taken at the other address"), false
 	}
-	return c.infer(msg, call, pattern)
+	resp, clientClosed = c.infer(msg, call, pattern)
+	c.served = resp.Status < firstErrorStatus
+	return resp, clientClosed
+}
+
+// firstErrorStatus is the lowest HTTP status of a request that was not served.
+const firstErrorStatus = 300
+
+// pace waits until the next request may be read: clients could otherwise send metadata calls, invalid requests and those that are
+// rejected as fast as one processor answers them. It returns false if the client has closed the connection meanwhile. Nothing
+// waits on the admin listener, nor once the gateway stops.
+func (c *clientConn) pace() bool {
+	wait, left := c.pacer.Settle(time.Now()), false
+	if c.role == adminListener {
+		return true
+	}
+	pacing.Pause(wait, func() bool {
+		left = c.conn.PeerClosed()
+		return left || c.gateway.isStopping()
+	})
+	return !left || c.gateway.isStopping()
 }
 
 // serveMetadata answers the KServe calls other than inference; no server is involved.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net"
+	"runtime"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -23,6 +24,7 @@
 	"hollymast/internal/fleet"
 	"hollymast/internal/loadreport"
 	"hollymast/internal/overload"
+	"hollymast/internal/pacing"
 	"hollymast/internal/record"
 	"hollymast/internal/rest"
 	"hollymast/internal/xds"
@@ -61,12 +63,13 @@
 	keysUnknownUntil control.Micros
 
 	// Shared with other goroutines.
-	sourceCompleteAsOf atomic.Int64                                                    // latest time as of which the endpoint source was read completely; 0: never
-	sourceReads        chan chan struct{}                                              // requests to read the endpoint source now; each channel is closed after the read
-	readRequested      atomic.Bool                                                     // the endpoint source must be read before the next step, however recent the list is
-	ready              atomic.Bool                                                     // an endpoint list was applied, and the gateway is not stopping
-	stopRequestedAt    atomic.Int64                                                    // on the router's clock; 0: not stopping
-	bodyBytes          atomic.Int64                                                    // total size of the request bodies in memory
+	sourceCompleteAsOf atomic.Int64       // latest time as of which the endpoint source was read completely; 0: never
+	sourceReads        chan chan struct{} // requests to read the endpoint source now; each channel is closed after the read
+	readRequested      atomic.Bool        // the endpoint source must be read before the next step, however recent the list is
+	ready              atomic.Bool        // an endpoint list was applied, and the gateway is not stopping
+	stopRequestedAt    atomic.Int64       // on the router's clock; 0: not stopping
+	bodyBytes          atomic.Int64       // total size of the request bodies in memory
+	clientRate         *pacing.Shared
 	clientCount        atomic.Int64                                                    // open client connections
 	clientConns        sync.Map                                                        // keys are *rest.Conn, values unused
 	dialSemaphore      chan struct{}                                                   // holds one value for each connection that is being dialled
@@ -95,7 +98,7 @@
 		config: config, log: log, loop: eventloop.New(eventloop.NewClock(time.Now()), micros(config.GracePeriod)),
 		requests: map[control.RequestID]*request{}, pools: map[control.ServerID]*serverPool{},
 		dialSemaphore: make(chan struct{}, config.MaxDials), sourceReads: make(chan chan struct{}, 1),
-		loopEnded: make(chan struct{}), metrics: newMetrics(),
+		loopEnded: make(chan struct{}), metrics: newMetrics(), clientRate: pacing.NewShared(float64(runtime.GOMAXPROCS(0))),
 	}
 	g.dial = func(ctx context.Context, address string) (*rest.Client, error) {
 		return rest.DialWithHandshake(ctx, address, &serverLimits, g.serverHandshake())
--- a/internal/platform/clientconn.go
+++ b/internal/platform/clientconn.go
@@ -11,6 +11,7 @@
 
 	"hollymast/control"
 	"hollymast/internal/msgrpc"
+	"hollymast/internal/pacing"
 )
 
 // clientConn is one client connection. Its goroutine reads messages, and only that goroutine decides when reading
@@ -42,7 +43,7 @@
 	closeReason       atomic.Uint32  // a clientClose
 	messageCount      int64          // messages since messagesSince; reader only
 	messagesSince     control.Micros // reader only
-	pacer             pacer
+	pacer             *pacing.Pacer
 	bytes             clientBytes // of its open requests and its unread responses
 }
 
@@ -133,11 +134,11 @@
 	switch m.Kind {
 	case msgrpc.HealthCheck:
 		c.countMessage(messageHealthCheck)
-		c.pacer.charge(m.Size)
+		c.pacer.Charge(m.Size)
 		c.handleHealthCheck(m.Number)
 	case msgrpc.Cancel:
 		c.countMessage(messageCancellation)
-		c.pacer.charge(m.Size)
+		c.pacer.Charge(m.Size)
 		c.handleCancellation(m.Number)
 	case msgrpc.Call:
 		c.countMessage(messageRequest)
@@ -191,12 +192,12 @@
 // such a client must be answered; from excessiveFaults on each is charged twice. While its reader pauses, a cancellation would
 // go unnoticed, so none of the client's requests stay open from tolerableFaults on.
 func (c *clientConn) penalize(bytes int) {
-	c.pacer.charge(bytes)
+	c.pacer.Charge(bytes)
 	switch c.faults++; {
 	case c.faults == tolerableFaults:
 		c.failOpen(requestOutcome{endFailed, reasonConnRejects})
 	case c.faults > excessiveFaults:
-		c.pacer.charge(bytes)
+		c.pacer.Charge(bytes)
 	}
 }
 
@@ -213,9 +214,9 @@
 		c.reply(c.router.rejection(m.Request.ID, m.Number))
 		return
 	}
-	if c.pacer.exceeded {
+	if c.pacer.Exceeded() {
 		c.lastNumber = max(c.lastNumber, m.Number)
-		c.pacer.charge(m.Size)
+		c.pacer.Charge(m.Size)
 		c.router.requestEnds.add(requestOutcome{endRejected, reasonClientTooFast})
 		c.reply(c.router.rejection(m.Request.ID, m.Number))
 		return
@@ -261,7 +262,7 @@
 	}
 	if !admitted {
 		c.router.requestEnds.add(requestOutcome{endRejected, reasonMemory})
-		c.pacer.charge(m.Size)
+		c.pacer.Charge(m.Size)
 		c.reply(c.router.rejection(m.Request.ID, m.Number))
 		return
 	}
@@ -289,7 +290,7 @@
 	}
 	c.mu.Unlock()
 	if req != nil {
-		c.pacer.charge(req.size)
+		c.pacer.Charge(req.size)
 		c.router.loop.Post(func(now control.Micros) {
 			c.router.handleCancel(now, req, requestOutcome{endCancelled, reasonClientLeft})
 		})
@@ -355,7 +356,7 @@
 	if open {
 		c.router.recordLateResponse(req)
 		if !req.served {
-			c.pacer.charge(req.size)
+			c.pacer.Charge(req.size)
 		}
 		c.post(data)
 		c.wakeReader()
--- a/internal/platform/clientdeadlines.go
+++ b/internal/platform/clientdeadlines.go
@@ -60,7 +60,7 @@
 // limitReadingAtEnd bounds the time for further messages on a closing connection on which no request is open, if the client
 // may never pause: it sends faster than it is read, or the listener closes and well-behaved clients have sent all requests.
 func (c *clientConn) limitReadingAtEnd() {
-	if !c.router.listenerClosing() && !c.pacer.exceeded {
+	if !c.router.listenerClosing() && !c.pacer.Exceeded() {
 		return
 	}
 	c.mu.Lock()
--- a/internal/platform/clients.go
+++ b/internal/platform/clients.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"hollymast/internal/msgrpc"
+	"hollymast/internal/pacing"
 )
 
 const (
@@ -71,7 +72,7 @@
 	c.writes.maxQueuedBytes, c.writes.conn, c.writes.written = maxUnreadByClient, conn, make(chan struct{})
 	c.bytes.all = &r.clientBytes
 	c.writes.bytes, c.writes.refused = &c.bytes, func() { c.setCloseReason(clientCloseUnread) }
-	c.pacer.init(r.clientRate, r.sharedClientRate)
+	c.pacer = pacing.New(r.clientRate)
 	c.writes.waited = &r.delayPeaks.responseWait
 	c.idleSince.Store(int64(r.loop.Now()))
 	return c
--- a/internal/platform/pacing_test.go
+++ b/internal/platform/pauses_test.go
@@ -7,59 +7,10 @@
 	"time"
 
 	"github.com/vmihailenco/msgpack/v5"
-	"golang.org/x/time/rate"
 
-	"hollymast/control"
 	"hollymast/internal/platformtest"
 )
 
-// What a connection sends without effect is read at once up to its burst, then at its own rate and a part of the shared one.
-func TestPacer(t *testing.T) {
-	limits := control.ClientRate{Burst: 10, PerSecond: 100, SharedPerSecond: 50}
-	shared := rate.NewLimiter(rate.Limit(limits.SharedPerSecond), 5)
-	var first, second pacer
-	first.init(limits, shared)
-	second.init(limits, shared)
-	now := time.Now()
-	settle := func(p *pacer, messages int, want time.Duration) {
-		t.Helper()
-		for range messages {
-			p.charge(0)
-		}
-		if wait := p.settle(now); wait.Round(time.Millisecond) != want {
-			t.Errorf("%d messages: a wait of %v, want %v", messages, wait, want)
-		}
-	}
-	settle(&first, 10, 0)
-	if first.exceeded {
-		t.Error("the burst counts as too much")
-	}
-	settle(&first, 5, 0) // the shared burst
-	if first.exceeded {
-		t.Error("the shared burst counts as too much")
-	}
-	settle(&first, 1, 20*time.Millisecond)
-	if !first.exceeded {
-		t.Error("the wait for the shared rate is not noticed")
-	}
-	settle(&second, 10, 0) // another connection's own rate is not affected
-	settle(&second, 1, 40*time.Millisecond)
-	now = now.Add(40 * time.Millisecond)
-	settle(&first, 4, 0) // 40 ms of its own rate
-	if !first.exceeded {
-		t.Error("the connection counts as quiet again at once")
-	}
-	now = now.Add(60 * time.Millisecond)
-	settle(&first, 0, 0)
-	if first.exceeded {
-		t.Error("the connection counts as too fast after a pause")
-	}
-	first.charge(16 << 10)
-	if owed := first.owed.Load(); owed != 5 {
-		t.Errorf("a message of 16 KiB counts as %d", owed)
-	}
-}
-
 // sendCancels cancels a request that was never sent, many times.
 func (c *testClient) sendCancels(count int) {
 	one, err := msgpack.Marshal([]any{2, "forget", []any{9}})
@@ -89,7 +40,7 @@
 	time.Sleep(time.Second)
 	read := r.messages.total()
 	elapsed := time.Since(begin).Seconds()
-	limits := r.clientRate
+	limits := r.clientRate.Limits()
 	if most := float64(limits.Burst) + (limits.PerSecond+limits.SharedPerSecond)*(elapsed+0.2); float64(read) > most || read < limits.Burst {
 		t.Errorf("%d messages were read in %.1f s, at most %.0f expected", read, elapsed, most)
 	}
@@ -108,7 +59,7 @@
 
 // TestFloodingClientMakesRoom guards against a client that never stops sending keeping its connection when room is needed for others.
 func TestFloodingClientMakesRoom(t *testing.T) {
-	r := startWith(t, func(r *Router) { r.sharedClientRate.SetLimit(1) }, platformtest.NewModelServer(t).Address())
+	r := startWith(t, func(r *Router) { r.clientRate.SetRate(1) }, platformtest.NewModelServer(t).Address())
 	c := r.dial(t)
 	flooding := make(chan struct{})
 	go func() {
@@ -130,7 +81,7 @@
 // all that it had sent before has been read.
 func TestCloseBehindUnreadMessagesIsNoticed(t *testing.T) {
 	server := platformtest.NewModelServer(t)
-	r := startWith(t, func(r *Router) { r.sharedClientRate.SetLimit(1) }, server.Address())
+	r := startWith(t, func(r *Router) { r.clientRate.SetRate(1) }, server.Address())
 	server.HoldAnswers()
 	c := r.dial(t)
 	c.sendRequest(1, "again")
--- a/internal/platform/router.go
+++ b/internal/platform/router.go
@@ -18,7 +18,6 @@
 	"time"
 
 	"github.com/rs/zerolog"
-	"golang.org/x/time/rate"
 
 	"hollymast/control"
 	"hollymast/internal/acceptqueue"
@@ -27,6 +26,7 @@
 	"hollymast/internal/discovery"
 	"hollymast/internal/eventloop"
 	"hollymast/internal/fleet"
+	"hollymast/internal/pacing"
 )
 
 // Router is one router process: its listener, its connections and its event loop. Create it with New and run it with
@@ -77,9 +77,8 @@
 	messages        counter[messageKind]
 	busiestClient   peak // most messages from one connection within busiestClientInterval
 
-	clientBytes      heldBytes
-	clientRate       control.ClientRate
-	sharedClientRate *rate.Limiter // of what clients send beyond their own rate
+	clientBytes heldBytes
+	clientRate  *pacing.Shared
 
 	maxClients, maxServerConns int
 }
@@ -105,8 +104,7 @@
 	}
 	r.fleet.UseSourceClock()
 	r.fleet.SetSlowStartDuration(config.Deployment.SlowStartDuration)
-	r.clientRate = control.ClientRateFor(config.Cores)
-	r.sharedClientRate = newSharedRate(r.clientRate)
+	r.clientRate = pacing.NewShared(config.Cores)
 	// Well-behaved clients use up to a third of the sockets; the rest of this half is for silent clients.
 	r.maxClients = config.Sockets / 2
 	r.clientBytes.limits = control.ClientMemoryFor(int64(config.MemoryMB)<<20, r.maxClients)
