Gateway: a run-once call that comes again while the first one is open runs once

Cause: earlierAttempts knew attempts only, and only with a folder for stored state. A request that still waited for a server was not seen by its repeat under the same Idempotency-Key: both were sent later. Without a folder not even attempts were known.

One that is at no server is ended when it comes again, and its client gets a failure, no rejection, since the repeat may run; what is at a server is in the index of keys, as before.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -25,6 +25,7 @@
 	"hollymast/internal/loadreport"
 	"hollymast/internal/overload"
 	"hollymast/internal/pacing"
+	"hollymast/internal/persistence"
 	"hollymast/internal/record"
 	"hollymast/internal/rest"
 	"hollymast/internal/xds"
@@ -56,8 +57,10 @@
 	recordingCount       int              // recordings started by this process
 	latestDecisions      decisionLog
 	loadCollector        *loadreport.Collector
-	overload             *overload.Controller // nil: overload damping is off
-	state                *stateKeeper         // nil: no state survives a restart
+	overload             *overload.Controller  // nil: overload damping is off
+	state                *stateKeeper          // nil: no state survives a restart
+	keys                 *persistence.KeyIndex // attempts that may have run, by idempotency key; the state keeper's, if there is one
+	openByKey            map[persistence.IdempotencyKey]*request
 	// Until keysUnknownUntil, attempts started by an earlier incarnation that are missing from the key index may still
 	// be running.
 	keysUnknownUntil control.Micros
@@ -96,7 +99,7 @@
 	}
 	g := &Gateway{
 		config: config, log: log, loop: eventloop.New(eventloop.NewClock(time.Now()), micros(config.GracePeriod)),
-		requests: map[control.RequestID]*request{}, pools: map[control.ServerID]*serverPool{},
+		requests: map[control.RequestID]*request{}, openByKey: map[persistence.IdempotencyKey]*request{}, pools: map[control.ServerID]*serverPool{},
 		dialSemaphore: make(chan struct{}, config.MaxDials), sourceReads: make(chan chan struct{}, 1),
 		loopEnded: make(chan struct{}), metrics: newMetrics(), clientRate: pacing.NewShared(float64(runtime.GOMAXPROCS(0))),
 	}
@@ -142,6 +145,10 @@
 			g.overload.Restore(g.loop.Epoch, *g.state.overloadBaseline, g.state.overloadBaselineAge)
 		}
 	}
+	g.keys = newUnstoredKeys()
+	if g.state != nil {
+		g.keys = g.state.keys
+	}
 	g.core = core.New(balancer, g)
 }
 
--- a/internal/gateway/journal.go
+++ b/internal/gateway/journal.go
@@ -37,13 +37,13 @@
 // at the same address. No server has it.
 const unknownLocality = 1<<16 - 1
 
-// earlierAttempts returns the attempts of a request that may have run according to the journal.
+// earlierAttempts returns the attempts of a request that may have run according to the index of keys.
 func (g *Gateway) earlierAttempts(now control.Micros, key persistence.IdempotencyKey) []control.Attempt {
-	if g.state == nil || key == 0 {
+	if key == 0 {
 		return nil
 	}
 	var attempts []control.Attempt
-	for _, sent := range g.state.keys.MayHaveRun(now, key) {
+	for _, sent := range g.keys.MayHaveRun(now, key) {
 		earlier := control.Attempt{
 			Server: sent.Server, Zone: unknownLocality, Cell: unknownLocality, SentAt: sent.At, Done: true, MayHaveRun: true,
 		}
@@ -80,12 +80,14 @@
 // journalAttempt appends an attempt to the journal if a restarted router must know of it. It returns the batch that
 // must be written before the attempt's first byte, or nil.
 func (g *Gateway) journalAttempt(key persistence.IdempotencyKey, to control.ServerID) *persistence.Batch {
+	if key != 0 {
+		g.keys.Add(key, persistence.SentAttempt{Server: to, At: g.loop.StepTime})
+	}
 	if g.state == nil {
 		return nil
 	}
 	var entries []persistence.Entry
 	if key != 0 {
-		g.state.keys.Add(key, persistence.SentAttempt{Server: to, At: g.loop.StepTime})
 		entries = append(entries, persistence.Entry{Kind: persistence.EntryAttempt, At: g.loop.StepTime, Key: key, Server: to})
 	}
 	if s := g.fleet.Get(to); s != nil && s.InSlowStart(g.loop.StepTime, g.config.Deployment.SlowStartDuration) {
@@ -99,8 +101,11 @@
 
 // journalNotRun appends to the journal that an attempt did not run.
 func (g *Gateway) journalNotRun(key persistence.IdempotencyKey, to control.ServerID) {
-	if g.state != nil && key != 0 {
-		g.state.keys.RemoveNotRun(key, to)
+	if key == 0 {
+		return
+	}
+	g.keys.RemoveNotRun(key, to)
+	if g.state != nil {
 		g.state.Append(persistence.Entry{Kind: persistence.EntryNotRun, At: g.loop.StepTime, Key: key, Server: to})
 	}
 }
--- a/internal/gateway/requests.go
+++ b/internal/gateway/requests.go
@@ -78,7 +78,9 @@
 	if req.idempotencyKey = req.params.IdempotencyKey; req.idempotencyKey == "" {
 		req.idempotencyKey = g.incarnation + "-" + strconv.FormatUint(uint64(req.id), 36)
 	}
+	g.replaceWaiting(now, key)
 	g.requests[req.id] = req
+	g.addOpen(req)
 	g.countAdmitted(now)
 	earlier := g.earlierAttempts(now, req.journalKey)
 	req.attempts = make([]*serverCall, len(earlier))
@@ -138,6 +140,7 @@
 func (g *Gateway) release(req *request) {
 	if req.answer.Done() {
 		delete(g.requests, req.id)
+		g.removeOpen(req)
 	}
 }
 
--- a/internal/gateway/serverpool.go
+++ b/internal/gateway/serverpool.go
@@ -78,6 +78,9 @@
 			delete(g.pools, id)
 		}
 	}
+	if g.state == nil {
+		g.keys.Prune(now)
+	}
 	g.loadCollector.Prune(func(address string) bool { return g.isListed(fleet.ID(address)) })
 	g.fleet.Prune(now, func(id control.ServerID) bool { return g.pools[id] != nil })
 }
