--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -59,6 +59,8 @@
 		r.stallRouters(ctx, f.Count, f.Duration)
 	case ThrottleRouters:
 		r.throttleRouters(ctx, f.Count, f.Duration)
+	case FloodRouters:
+		r.floodRouters(ctx, f.Count, f.Duration)
 	case PartitionZone:
 		r.partitionZone(ctx, f.Duration)
 	case Burst, Quiet:
--- a/internal/soak/scenario.go
+++ b/internal/soak/scenario.go
@@ -106,6 +106,8 @@
 	StallRouters FaultKind = "stall-routers"
 	// ThrottleRouters lets the processes of Count routers run only a quarter of each 0.1 s, for Duration.
 	ThrottleRouters FaultKind = "throttle-routers"
+	// FloodRouters lets some clients of Count routers send messages without effect at full speed, for Duration.
+	FloodRouters FaultKind = "flood-routers"
 	// PartitionZone makes all servers of a zone withhold their responses for Duration.
 	PartitionZone FaultKind = "partition-zone"
 	// Burst multiplies the request rate for Duration.
@@ -164,6 +166,8 @@
 		s.LoadRateWindow, s.LoadRateBase, s.LoadRatePerRequest = 5*time.Second, float64(4+random.IntN(8)), uniform(random, 0.2, 0.5)
 	}
 	s.Faults = drawFaults(random, s)
+	s.Faults = append(s.Faults, drawFlood(newRandom(seed, "flood"), s)...)
+	slices.SortStableFunc(s.Faults, func(a, b Fault) int { return int(a.At - b.At) })
 	s.WeightedEndpoints = random.IntN(2) == 0
 	s.ExecutionTimeSigma, s.CancelShare = uniform(random, 0.2, 0.7), uniform(random, 0.01, 0.1)
 	s.ShortDeadlineShare, s.DropsExpired = uniform(random, 0, 0.1), random.IntN(2) == 0
--- a/internal/soak/scenario_test.go
+++ b/internal/soak/scenario_test.go
@@ -37,8 +37,8 @@
 			t.Errorf("seed %d: %+v, %v", seed, deployment, err)
 		}
 	}
-	if len(kinds) != 17 {
-		t.Errorf("%d kinds of faults were drawn, want all 17: %v", len(kinds), kinds)
+	if len(kinds) != 18 {
+		t.Errorf("%d kinds of faults were drawn, want all 18: %v", len(kinds), kinds)
 	}
 	if reflect.DeepEqual(GenerateScenario(1, length), GenerateScenario(2, length)) {
 		t.Error("seeds 1 and 2 yield the same scenario")
