Platform: answers that no call waits for are bounded on each server connection

Callers would see: answers from other servers late, while one model server sends answers that nobody waits for at full speed.

Change: the reader waits while 64 of its answers wait for the loop. A connection that brought 64 answers without a call takes no new calls, and one that brought 1024 is closed with its reason in the log.

--- a/internal/platform/connlog.go
+++ b/internal/platform/connlog.go
@@ -54,6 +54,7 @@
 	serverCloseForRoom
 	serverCloseEndpointChange
 	serverCloseAbandoned
+	serverCloseUnsolicited
 )
 
 var serverCloseTexts = [...]string{
@@ -67,6 +68,7 @@
 	serverCloseForRoom:          "server idle, to make room",
 	serverCloseEndpointChange:   "server drains, left or restarted",
 	serverCloseAbandoned:        "server, an answer was not awaited",
+	serverCloseUnsolicited:      "server, too many answers that nobody awaits",
 }
 
 func (c serverClose) String() string { return serverCloseTexts[c] }
--- a/internal/platform/servercall.go
+++ b/internal/platform/servercall.go
@@ -160,12 +160,13 @@
 // stays open.
 func (r *Router) handleAnswer(now control.Micros, sc *serverConn, answer *binframe.Answer) {
 	call := sc.open[answer.ID]
-	if call == nil || answer.Probe {
+	if call == nil || answer.Probe || call.currentStage() != attempt.Writing { // not written: this can't be its answer
+		if sc.unsolicited.Add(1) == tolerableUnsolicited {
+			sc.setCloseReason(serverCloseUnsolicited)
+			r.retire(sc)
+		}
 		return
 	}
-	if call.currentStage() != attempt.Writing {
-		return // the call has not been written, so this can't be its answer
-	}
 	r.callEnded(now, call, answer.Result, answer)
 }
 
--- a/internal/platform/serverconn.go
+++ b/internal/platform/serverconn.go
@@ -15,6 +15,7 @@
 	"hollymast/internal/attempt"
 	"hollymast/internal/binframe"
 	"hollymast/internal/netfail"
+	"hollymast/internal/pacing"
 )
 
 // serverConn is one connection to a server. The event loop owns all fields except the write queue and partialWrite. A
@@ -32,8 +33,20 @@
 	dialing      context.Context
 	cancelDial   context.CancelFunc
 	closeReason  serverClose
+	unhandled    atomic.Int32 // answers posted to the event loop that it has not handled
+	unsolicited  atomic.Int32 // answers that no call waited for
 }
 
+const (
+	// maxUnhandledAnswers is the number of answers of one connection that wait for the event loop; the reader waits when it is
+	// reached. Usually there is one.
+	maxUnhandledAnswers = 64
+	// A server may send an answer twice, or one that comes too late. A connection that brings more than tolerableUnsolicited such
+	// answers takes no new calls; it is closed, with what is open on it, after excessiveUnsolicited.
+	tolerableUnsolicited = 64
+	excessiveUnsolicited = 1024
+)
+
 // close closes the connection immediately and cancels its dial, which frees the descriptor.
 func (sc *serverConn) close() {
 	sc.writes.close()
@@ -97,10 +110,24 @@
 			}
 			return
 		}
-		r.loop.Post(func(now control.Micros) { r.handleAnswer(now, sc, answer) })
+		if sc.unsolicited.Load() > excessiveUnsolicited {
+			end, reason = control.Failed, serverCloseUnsolicited
+			return
+		}
+		sc.postAnswer(answer)
 	}
 }
 
+// postAnswer posts an answer to the event loop, once the loop has handled enough of the earlier ones.
+func (sc *serverConn) postAnswer(answer *binframe.Answer) {
+	pacing.Pause(answerTimeout, func() bool { return sc.unhandled.Load() < maxUnhandledAnswers })
+	sc.unhandled.Add(1)
+	sc.router.loop.Post(func(now control.Micros) {
+		sc.unhandled.Add(-1)
+		sc.router.handleAnswer(now, sc, answer)
+	})
+}
+
 // serverConnFuncs are the functions that a server connection uses to connect and to write the first bytes of a frame.
 // Tests replace them.
 type serverConnFuncs struct {
